--- /dev/null
+++ b/crates/adapters/src/callers/mod.rs
@@ -0,0 +1,9 @@
+//! What callers see: answers, refusals and look-ups over HTTP.
+
+mod caller_front;
+mod problem_body;
+
+pub use self::{
+    caller_front::{LOOKUP_PATH, answer_caller, answer_hand_off},
+    problem_body::to_response,
+};
--- /dev/null
+++ b/crates/adapters/src/http/hop_headers.rs
@@ -0,0 +1,61 @@
+//! Headers that end at each hop, as RFC 9110 says in section 7.6.1.
+
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Uri, Version,
+    header::{
+        CONNECTION, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Takes out the headers that end at this hop, and those that `Connection` names.
+///
+/// ```
+/// use http::{HeaderMap, HeaderValue, header::CONNECTION};
+/// let mut headers = HeaderMap::new();
+/// headers.insert(CONNECTION, HeaderValue::from_static("x-private"));
+/// headers.insert("x-private", HeaderValue::from_static("1"));
+/// adapters::strip_hop_headers(&mut headers);
+/// assert!(headers.is_empty());
+/// ```
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Turns a request into HTTP/1.1 in origin form with a `Host` header.
+///
+/// ```
+/// use http::{Request, header::HOST};
+/// let mut request = Request::get("http://briefs.example/a?b").body(()).unwrap();
+/// adapters::to_origin_form(&mut request);
+/// assert_eq!(request.uri(), "/a?b");
+/// assert_eq!(request.headers()[HOST], "briefs.example");
+/// ```
+pub fn to_origin_form<B>(request: &mut Request<B>) {
+    let authority = request.uri().authority().and_then(|a| HeaderValue::try_from(a.as_str()).ok());
+    if let Some(authority) = authority {
+        request.headers_mut().insert(HOST, authority);
+    }
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    *request.version_mut() = Version::HTTP_11;
+}
--- /dev/null
+++ b/crates/adapters/src/http/http_targets.rs
@@ -0,0 +1,67 @@
+//! The port towards targets over HTTP/1.1.
+
+use super::{ConnectionPool, strip_hop_headers, to_origin_form};
+use async_trait::async_trait;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use std::{net::SocketAddr, sync::Arc};
+use steer::{Body, LoadError, LoadReport, SendError, Targets, empty_body};
+
+/// Sends requests to targets over HTTP/1.1.
+#[derive(Clone, Debug)]
+pub struct HttpTargets {
+    pool: Arc<ConnectionPool>,
+}
+
+/// A load report as a target writes it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WireLoad {
+    busy: u32,
+    leaving: bool,
+    queued: u32,
+}
+
+impl HttpTargets {
+    /// Path of a target's load report.
+    pub const LOAD_PATH: &'static str = "/.well-known/load";
+
+    /// Makes the adapter over a connection pool.
+    ///
+    /// ```
+    /// let targets = adapters::HttpTargets::new(adapters::ConnectionPool::new());
+    /// assert!(format!("{targets:?}").contains("idle: 0"));
+    /// ```
+    pub fn new(pool: Arc<ConnectionPool>) -> Self {
+        Self { pool }
+    }
+}
+
+#[async_trait]
+impl Targets for HttpTargets {
+    async fn send(
+        &self,
+        target: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        to_origin_form(&mut request);
+        strip_hop_headers(request.headers_mut());
+        let mut response = self.pool.send(target, request).await?;
+        strip_hop_headers(response.headers_mut());
+        Ok(response)
+    }
+
+    async fn read_load(&self, target: SocketAddr) -> Result<LoadReport, LoadError> {
+        let failed = |reason: String| LoadError { reason };
+        let mut request = Request::new(empty_body());
+        *request.uri_mut() = http::Uri::from_static(Self::LOAD_PATH);
+        let host = target.to_string().parse().map_err(|_| failed("bad address".into()))?;
+        request.headers_mut().insert(http::header::HOST, host);
+        let response = self.pool.send(target, request).await.map_err(|e| failed(e.to_string()))?;
+        let bytes =
+            response.into_body().collect().await.map_err(|e| failed(e.to_string()))?.to_bytes();
+        let load: WireLoad = serde_json::from_slice(&bytes).map_err(|e| failed(e.to_string()))?;
+        Ok(LoadReport { busy: load.busy, leaving: load.leaving, queued: load.queued })
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/http/listener.rs
@@ -0,0 +1,134 @@
+//! Accepts connections, one task each.
+
+use super::to_body;
+use http::{Request, Response};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use steer::Body;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+/// Limits of a listener.
+///
+/// ```
+/// use adapters::ListenerLimits;
+/// assert_eq!(ListenerLimits::default().connections(100).connections, 100);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Most connections at a time.
+    pub connections: usize,
+    /// Longest time for the head of a request.
+    pub head_wait: Duration,
+    /// Largest head of a request in bytes.
+    pub max_head: usize,
+    /// Most headers of a request.
+    pub max_headers: usize,
+}
+
+impl ListenerLimits {
+    /// Sets the most connections at a time.
+    ///
+    /// ```
+    /// assert_eq!(adapters::ListenerLimits::default().connections(7).connections, 7);
+    /// ```
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.connections = connections;
+        self
+    }
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 20_000,
+            head_wait: Duration::from_secs(10),
+            max_head: 32 << 10,
+            max_headers: 100,
+        }
+    }
+}
+
+/// A bound socket with its limits.
+#[derive(Debug)]
+pub struct Listener {
+    limits: ListenerLimits,
+    socket: TcpListener,
+}
+
+impl Listener {
+    /// Binds an address.
+    ///
+    /// # Errors
+    ///
+    /// Where the address can't be bound.
+    pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Self> {
+        Ok(Self { limits, socket: TcpListener::bind(address).await? })
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// Where the operating system can't tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Serves connections for ever, HTTP/1.1 and HTTP/2, with one handler for all requests.
+    pub async fn serve<H, F>(self, handler: H)
+    where
+        H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+            match self.socket.accept().await {
+                Ok((stream, caller)) => {
+                    let (handler, limits) = (handler.clone(), self.limits);
+                    tokio::spawn(async move {
+                        serve_connection(stream, caller, handler, limits).await;
+                        drop(permit);
+                    });
+                }
+                // Out of file descriptors: wait for some to be freed.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    caller: SocketAddr,
+    handler: H,
+    limits: ListenerLimits,
+) where
+    H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = handler(request.map(to_body), caller);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_wait)
+        .max_buf_size(limits.max_head)
+        .max_headers(limits.max_headers);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_head as u32);
+    // An error ends this connection only, and its request's body tells the flow.
+    let _ended = builder.serve_connection(TokioIo::new(stream), service).await;
+}
--- /dev/null
+++ b/crates/adapters/src/http/mod.rs
@@ -0,0 +1,16 @@
+//! HTTP by hyper: connections, listeners, headers and bodies.
+
+mod connection_pool;
+mod hop_headers;
+mod http_targets;
+mod incoming_body;
+mod listener;
+mod returning_body;
+
+pub use self::{
+    connection_pool::ConnectionPool,
+    hop_headers::{strip_hop_headers, to_origin_form},
+    http_targets::HttpTargets,
+    incoming_body::to_body,
+    listener::{Listener, ListenerLimits},
+};
--- /dev/null
+++ b/crates/adapters/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! Messages between entry VMs over jsonrpsee, and requests handed over by hyper.
+
+mod rpc_peers;
+mod rpc_server;
+mod wire;
+
+pub use self::{rpc_peers::RpcPeers, rpc_server::serve_peers};
--- /dev/null
+++ b/crates/adapters/src/telemetry/log_format.rs
@@ -0,0 +1,37 @@
+//! The log of a process.
+
+use serde::Deserialize;
+use slog::{Drain, Level, Logger, o};
+use std::io;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Text for people.
+    #[default]
+    Text,
+}
+
+/// Opens a log on standard error that keeps lines of a level and above.
+///
+/// ```
+/// let log = adapters::open_log(adapters::LogFormat::Text, slog::Level::Info);
+/// slog::debug!(log, "log: this line is left out");
+/// ```
+pub fn open_log(format: LogFormat, level: Level) -> Logger {
+    let drain = match format {
+        LogFormat::Json => {
+            let json = slog_json::Json::default(io::stderr()).fuse();
+            slog_async::Async::new(json).build()
+        }
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let text = slog_term::FullFormat::new(decorator).build().fuse();
+            slog_async::Async::new(text).build()
+        }
+    };
+    Logger::root(drain.filter_level(level).fuse(), o!())
+}
--- /dev/null
+++ b/crates/adapters/src/telemetry/statsd_meter.rs
@@ -0,0 +1,60 @@
+//! Metrics over UDP by cadence.
+
+use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use std::{
+    fmt::{self, Debug, Formatter},
+    io,
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+use steer::Meter;
+
+/// Sends metrics to a statsd server.
+pub struct StatsdMeter {
+    client: StatsdClient,
+}
+
+impl StatsdMeter {
+    /// Prefix of all metric names.
+    pub const PREFIX: &'static str = "ragwortswitch";
+
+    /// Makes a meter that sends to an address.
+    ///
+    /// # Errors
+    ///
+    /// Where no UDP socket can be bound.
+    ///
+    /// ```
+    /// use steer::Meter;
+    /// let meter = adapters::StatsdMeter::new("127.0.0.1:8125".parse().unwrap()).unwrap();
+    /// meter.count("requests", 1);
+    /// ```
+    pub fn new(server: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(server, socket).map_err(io::Error::other)?;
+        let client = StatsdClient::from_sink(Self::PREFIX, QueuingMetricSink::from(sink));
+        Ok(Self { client })
+    }
+}
+
+// Metrics are best effort: a failure to send one changes nothing.
+impl Meter for StatsdMeter {
+    fn count(&self, name: &str, n: u64) {
+        drop(self.client.count(name, n));
+    }
+
+    fn gauge(&self, name: &str, value: u64) {
+        drop(self.client.gauge(name, value));
+    }
+
+    fn time(&self, name: &str, value: Duration) {
+        drop(self.client.time(name, value));
+    }
+}
+
+impl Debug for StatsdMeter {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StatsdMeter").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stand_ins/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what the system talks to, one file each.
+
+mod link;
+mod platform;
+mod target;
+
+pub use self::{
+    link::LinkStandIn,
+    platform::PlatformStandIn,
+    target::{TargetControls, TargetStandIn},
+};
--- /dev/null
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -0,0 +1,88 @@
+//! `ragwortswitch entry`: wires the adapters to the flows.
+
+use crate::process_settings::ProcessSettings;
+use adapters::{
+    ConnectionPool, HttpPlatform, HttpTargets, Listener, ListenerLimits, OtelTracer, RpcPeers,
+    StatsdMeter, answer_caller, answer_hand_off, answer_operator, open_log, serve_peers,
+};
+use slog::{Level, info};
+use std::{error::Error, path::Path, str::FromStr, sync::Arc, time::SystemTime};
+use steer::{
+    EntryNode, EntryPorts, Meter, NoMeter, NoTracer, Peers, SystemClock, Tracer, Vm, run_entry,
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Puts an adapter around the port towards peers.
+pub type WrapPeers = fn(Arc<dyn Peers>) -> Arc<dyn Peers>;
+
+/// Runs an entry VM until SIGTERM or SIGINT, then drains it.
+///
+/// `wrap` may put another adapter around the port towards peers, such as one that a test bench
+/// brings; the binary itself adds none.
+pub(crate) async fn run_entry_vm(path: &Path, wrap: WrapPeers) -> Result<(), Box<dyn Error>> {
+    let settings = ProcessSettings::read(path)?;
+    let level = settings.log.level.as_deref().and_then(|l| Level::from_str(l).ok());
+    let log = open_log(settings.log.format, level.unwrap_or(Level::Info));
+    let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_micros();
+    let tracer = settings
+        .traces
+        .as_ref()
+        .map(|t| OtelTracer::open(settings.name.as_str(), &t.output, t.ratio))
+        .transpose()?
+        .map(Arc::new);
+
+    let pool = ConnectionPool::new();
+    let meter: Arc<dyn Meter> = match settings.metrics {
+        Some(server) => Arc::new(StatsdMeter::new(server)?),
+        None => Arc::new(NoMeter),
+    };
+    let ports = EntryPorts {
+        clock: Arc::new(SystemClock),
+        meter,
+        peers: wrap(Arc::new(RpcPeers::new(Arc::clone(&pool)))),
+        platform: Arc::new(HttpPlatform::new(
+            settings.platform,
+            settings.name.as_str(),
+            Arc::clone(&pool),
+        )),
+        targets: Arc::new(HttpTargets::new(pool)),
+        tracer: match &tracer {
+            Some(tracer) => Arc::clone(tracer) as Arc<dyn Tracer>,
+            None => Arc::new(NoTracer),
+        },
+    };
+    let (vm, state) = Vm::join();
+    let entry = settings.entry_vm(u64::try_from(incarnation)?);
+    let node = Arc::new(EntryNode::new(entry, ports, state, log.clone()));
+
+    let limits = ListenerLimits::default();
+    let callers = Listener::bind(settings.callers, limits).await?;
+    let handoff = Listener::bind(settings.handoff, limits).await?;
+    let operators = Listener::bind(settings.operators, limits.connections(100)).await?;
+    let _peers = serve_peers(Arc::clone(&node), settings.peers).await?;
+    let n = Arc::clone(&node);
+    tokio::spawn(callers.serve(move |r, caller| answer_caller(Arc::clone(&n), r, caller)));
+    let n = Arc::clone(&node);
+    tokio::spawn(handoff.serve(move |r, _| answer_hand_off(Arc::clone(&n), r)));
+    let n = Arc::clone(&node);
+    tokio::spawn(operators.serve(move |r, _| answer_operator(Arc::clone(&n), r)));
+    info!(log, "vm: listening"; "callers" => %settings.callers, "peers" => %settings.peers);
+
+    run_entry(node, vm, stop_signal()?).await;
+    if let Some(tracer) = tracer {
+        tracer.close()?;
+    }
+    Ok(())
+}
+
+/// Ends when the process is asked to stop.
+fn stop_signal() -> Result<impl Future<Output = ()>, std::io::Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
--- /dev/null
+++ b/crates/steer/src/errors/error_kind.rs
@@ -0,0 +1,112 @@
+//! Every way in which a request can fail.
+
+use super::{Answer, Outcome};
+use displaydoc::Display;
+use http::StatusCode;
+
+/// The closed list of error kinds; `answer` is the table from kind to answer.
+///
+/// ```
+/// use steer::{ErrorKind, Outcome};
+/// assert_eq!(ErrorKind::NoRoom.answer().outcome, Outcome::NotRun);
+/// ```
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ErrorKind {
+    /// the answer broke off before its end
+    AnswerCut,
+    /// the request body is larger than its class allows
+    BodyTooLarge,
+    /// the caller sent its request too slowly
+    CallerSlow,
+    /// the request can't finish before its deadline
+    DeadlineTooShort,
+    /// the deadline passed before an answer came
+    DeadlinePassed,
+    /// the idempotency key was used with another request
+    KeyReused,
+    /// this request needs an Idempotency-Key header
+    KeyMissing,
+    /// a request with this idempotency key is under way or its end is not known
+    KeyUnsettled,
+    /// the request ended several targets and is refused for a while
+    Poisoned,
+    /// no target with room could be found
+    NoRoom,
+    /// no service is configured for this host
+    NoService,
+    /// the platform could not record the idempotency key
+    PlatformDown,
+    /// the request is malformed or over a limit
+    RequestInvalid,
+    /// the entry VM is stopping
+    Stopping,
+    /// the target failed after the request had been sent
+    TargetFailed,
+    /// the target refused the request without running it
+    TargetRefused,
+}
+
+impl ErrorKind {
+    /// Every kind, in alphabetical order.
+    pub const ALL: [Self; 16] = [
+        Self::AnswerCut,
+        Self::BodyTooLarge,
+        Self::CallerSlow,
+        Self::DeadlineTooShort,
+        Self::DeadlinePassed,
+        Self::KeyReused,
+        Self::KeyMissing,
+        Self::KeyUnsettled,
+        Self::Poisoned,
+        Self::NoRoom,
+        Self::NoService,
+        Self::PlatformDown,
+        Self::RequestInvalid,
+        Self::Stopping,
+        Self::TargetFailed,
+        Self::TargetRefused,
+    ];
+
+    /// The answer that a caller gets for this kind.
+    ///
+    /// ```
+    /// assert_eq!(steer::ErrorKind::NoService.answer().status.as_u16(), 404);
+    /// ```
+    pub fn answer(self) -> Answer {
+        use {Outcome::*, StatusCode as Code};
+        match self {
+            Self::AnswerCut => Answer::new(Code::BAD_GATEWAY, Unknown),
+            Self::BodyTooLarge => Answer::new(Code::PAYLOAD_TOO_LARGE, NotRun),
+            Self::CallerSlow => Answer::new(Code::REQUEST_TIMEOUT, Unknown),
+            Self::DeadlineTooShort => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun),
+            Self::DeadlinePassed => Answer::new(Code::GATEWAY_TIMEOUT, Unknown),
+            Self::KeyReused => Answer::new(Code::UNPROCESSABLE_ENTITY, NotRun),
+            Self::KeyMissing => Answer::new(Code::BAD_REQUEST, NotRun),
+            Self::KeyUnsettled => Answer::new(Code::CONFLICT, Unknown),
+            Self::Poisoned => Answer::new(Code::UNPROCESSABLE_ENTITY, NotRun),
+            Self::NoRoom => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(1),
+            Self::NoService => Answer::new(Code::NOT_FOUND, NotRun),
+            Self::PlatformDown => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(2),
+            Self::RequestInvalid => Answer::new(Code::BAD_REQUEST, NotRun),
+            Self::Stopping => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(0),
+            Self::TargetFailed => Answer::new(Code::BAD_GATEWAY, Unknown),
+            Self::TargetRefused => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(1),
+        }
+    }
+
+    /// The kind's name in a problem's `type` member.
+    ///
+    /// ```
+    /// assert_eq!(steer::ErrorKind::NoRoom.slug(), "no-room");
+    /// ```
+    pub fn slug(self) -> String {
+        let mut slug = String::new();
+        for c in format!("{self:?}").chars() {
+            if c.is_uppercase() && !slug.is_empty() {
+                slug.push('-');
+            }
+            slug.push(c.to_ascii_lowercase());
+        }
+        slug
+    }
+}
--- /dev/null
+++ b/crates/steer/src/flows/refusal.rs
@@ -0,0 +1,46 @@
+//! A refusal on its way to the caller.
+
+use crate::{Answer, ErrorKind};
+
+/// Why a request gets no answer from a target.
+///
+/// ```
+/// use steer::{ErrorKind, Refusal};
+/// let refusal = Refusal::new(ErrorKind::NoService, "unknown host example.org");
+/// assert_eq!(refusal.answer().status.as_u16(), 404);
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// What happened in this case.
+    pub detail: String,
+    /// Which of the closed list of errors it is.
+    pub kind: ErrorKind,
+}
+
+impl Refusal {
+    /// Makes a refusal.
+    ///
+    /// ```
+    /// use steer::{ErrorKind, Refusal};
+    /// assert_eq!(Refusal::new(ErrorKind::NoRoom, "full").detail, "full");
+    /// ```
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self { detail: detail.into(), kind }
+    }
+
+    /// The answer that the table gives for the kind.
+    ///
+    /// ```
+    /// use steer::{ErrorKind, Outcome, Refusal};
+    /// assert_eq!(Refusal::new(ErrorKind::NoRoom, "").answer().outcome, Outcome::NotRun);
+    /// ```
+    pub fn answer(&self) -> Answer {
+        self.kind.answer()
+    }
+}
+
+impl From<ErrorKind> for Refusal {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, kind.to_string())
+    }
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,33 @@
+//! The decisions and flows of a global traffic steering system, over ports.
+//!
+//! Five types to know:
+//!
+//! - [`EntryNode`] is the shared state of an entry VM.
+//! - [`SettingsTree`] holds the settings in force, [`Snapshot`] is what decisions read.
+//! - [`TargetPool`] counts the slots of a service's targets in one availability zone.
+//! - [`MembershipTable`] knows the peers.
+//! - [`ErrorKind`] is the closed list of errors, with the table of answers.
+//!
+//! ```
+//! use steer::{PoolKey, VmName, choose_owner};
+//!
+//! let vms = [VmName::from("entry-1"), VmName::from("entry-2")];
+//! assert!(choose_owner(&PoolKey::new("briefs", "lis-a"), &vms).is_some());
+//! ```
+
+mod choice;
+mod errors;
+mod flows;
+mod lookup;
+mod membership;
+mod names;
+mod node;
+mod pool;
+mod ports;
+mod routing;
+mod settings;
+
+pub use self::{
+    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, pool::*, ports::*,
+    routing::*, settings::*,
+};
--- /dev/null
+++ b/crates/steer/src/membership/vm.rs
@@ -0,0 +1,76 @@
+//! The life cycle of this entry VM as a typestate.
+
+use super::VmState;
+use tokio::sync::watch;
+
+/// Has no settings yet.
+#[derive(Debug)]
+pub struct Joining;
+/// Takes work.
+#[derive(Debug)]
+pub struct Serving;
+/// Finishes its work.
+#[derive(Debug)]
+pub struct Draining;
+/// Has ended.
+#[derive(Debug)]
+pub struct Stopped;
+
+/// This entry VM in one state of its life; the steps go one way only.
+///
+/// ```
+/// use steer::{Vm, VmState};
+/// let (vm, state) = Vm::join();
+/// let vm = vm.serve();
+/// assert_eq!(*state.borrow(), VmState::Serving);
+/// let vm = vm.drain();
+/// vm.stop();
+/// assert_eq!(*state.borrow(), VmState::Stopped);
+/// ```
+///
+/// A VM that drains can't serve again:
+///
+/// ```compile_fail
+/// let (vm, _) = steer::Vm::join();
+/// vm.serve().drain().serve();
+/// ```
+#[derive(Debug)]
+pub struct Vm<S> {
+    announce: watch::Sender<VmState>,
+    _state: S,
+}
+
+impl Vm<Joining> {
+    /// Starts the life cycle and gives a view of it for flows and peers.
+    ///
+    /// ```
+    /// let (_vm, state) = steer::Vm::join();
+    /// assert_eq!(*state.borrow(), steer::VmState::Joining);
+    /// ```
+    pub fn join() -> (Self, watch::Receiver<VmState>) {
+        let (announce, state) = watch::channel(VmState::Joining);
+        (Self { announce, _state: Joining }, state)
+    }
+
+    /// Begins to take work.
+    pub fn serve(self) -> Vm<Serving> {
+        self.announce.send_replace(VmState::Serving);
+        Vm { announce: self.announce, _state: Serving }
+    }
+}
+
+impl Vm<Serving> {
+    /// Stops taking new work.
+    pub fn drain(self) -> Vm<Draining> {
+        self.announce.send_replace(VmState::Draining);
+        Vm { announce: self.announce, _state: Draining }
+    }
+}
+
+impl Vm<Draining> {
+    /// Ends the life cycle after the last request.
+    pub fn stop(self) -> Vm<Stopped> {
+        self.announce.send_replace(VmState::Stopped);
+        Vm { announce: self.announce, _state: Stopped }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/node/entry_node.rs
@@ -0,0 +1,302 @@
+//! The shared state of an entry VM.
+
+use super::EntryPorts;
+use crate::{
+    AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
+    LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
+    PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
+    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+};
+use slog::{Logger, info, warn};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::{sync::watch, time::Instant};
+use tokio_util::task::TaskTracker;
+
+/// Home regions of client blocks, ready for look-ups.
+#[derive(Debug, Default)]
+struct Homes {
+    regions: Vec<RegionName>,
+    table: BlockTable,
+}
+
+/// The shared state of an entry VM. Flows read and change it through short calls; no lock is
+/// held across an await.
+#[derive(Debug)]
+pub struct EntryNode {
+    homes: Mutex<Arc<Homes>>,
+    leaving: Mutex<BTreeSet<TargetName>>,
+    log: Logger,
+    members: Mutex<MembershipTable>,
+    pools: Mutex<BTreeMap<PoolKey, Arc<TargetPool>>>,
+    ports: EntryPorts,
+    snapshot: watch::Sender<Arc<Snapshot>>,
+    state: watch::Receiver<VmState>,
+    tree: Mutex<SettingsTree>,
+    vm: EntryVm,
+    work: TaskTracker,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of a node's lock panics")
+}
+
+impl EntryNode {
+    /// How long a caller may cache a look-up.
+    pub const LOOKUP_AGE: Duration = Duration::from_secs(5);
+
+    /// Makes the state of an entry VM that has no settings and knows no peers.
+    pub fn new(
+        vm: EntryVm,
+        ports: EntryPorts,
+        state: watch::Receiver<VmState>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            homes: Mutex::default(),
+            leaving: Mutex::default(),
+            log,
+            members: Mutex::default(),
+            pools: Mutex::default(),
+            ports,
+            snapshot: watch::Sender::new(Arc::default()),
+            state,
+            tree: Mutex::default(),
+            vm,
+            work: TaskTracker::new(),
+        }
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// The ports.
+    pub fn ports(&self) -> &EntryPorts {
+        &self.ports
+    }
+
+    /// Who this VM is.
+    pub fn vm(&self) -> &EntryVm {
+        &self.vm
+    }
+
+    /// The requests under way: each holds a token until its answer ends.
+    pub fn work(&self) -> &TaskTracker {
+        &self.work
+    }
+
+    /// The state of this VM's life cycle.
+    pub fn state(&self) -> VmState {
+        *self.state.borrow()
+    }
+
+    /// The settings in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot.borrow())
+    }
+
+    /// A view of the settings in force that tells when they change.
+    pub fn watch_snapshot(&self) -> watch::Receiver<Arc<Snapshot>> {
+        self.snapshot.subscribe()
+    }
+
+    /// Checks a document and puts it in force if it is newer; tells whether it was.
+    pub fn offer_settings(&self, document: &SettingsDocument) -> bool {
+        let SettingsDocument { path, text, version } = document;
+        let mut tree = lock(&self.tree);
+        if tree.version(path).is_some_and(|held| held >= *version) {
+            return false;
+        }
+        let checked = match Settings::new(path.clone(), *version, Arc::clone(text)).check() {
+            Ok(checked) => checked,
+            Err(problems) => {
+                let first = problems.first().map(ToString::to_string).unwrap_or_default();
+                warn!(self.log, "settings: refused a document";
+                    "path" => %path, "version" => version, "reason" => first);
+                tree.note_refused(path.clone(), *version, problems);
+                return false;
+            }
+        };
+        if let Err(PutError::OutOfBounds(problems)) = tree.put_in_force(checked) {
+            tree.note_refused(path.clone(), *version, problems);
+            return false;
+        }
+        let snapshot = Arc::new(tree.to_snapshot());
+        drop(tree);
+        info!(self.log, "settings: in force"; "path" => %path, "version" => version);
+        self.rebuild(snapshot);
+        true
+    }
+
+    fn rebuild(&self, snapshot: Arc<Snapshot>) {
+        let blocks = snapshot.fleet().map(|f| f.blocks.clone()).unwrap_or_default();
+        let regions: Vec<RegionName> =
+            blocks.values().cloned().collect::<BTreeSet<_>>().into_iter().collect();
+        let index = |region| regions.binary_search(region).unwrap_or_default() as u32;
+        let table = BlockTable::new(blocks.iter().map(|(block, region)| (*block, index(region))));
+        *lock(&self.homes) = Arc::new(Homes { regions, table });
+        self.snapshot.send_replace(snapshot);
+        self.refresh_pools();
+    }
+
+    /// Brings the pools of this availability zone up to date with settings and drains.
+    pub fn refresh_pools(&self) {
+        let snapshot = self.snapshot();
+        let now = self.ports.clock.now();
+        let leaving = lock(&self.leaving).clone();
+        for service in snapshot.services() {
+            let key = PoolKey { service: service.name.clone(), zone: self.vm.zone.clone() };
+            let targets = service.settings.targets.iter().filter(|(_, t)| t.zone == key.zone);
+            self.pool(&key).set_targets(targets.map(|(name, target)| {
+                let drained =
+                    leaving.contains(name) || snapshot.is_drained(name, &target.zone, now);
+                (name, target, drained)
+            }));
+        }
+    }
+
+    /// Takes the names of targets that the platform lists as leaving.
+    pub fn set_leaving(&self, names: BTreeSet<TargetName>) {
+        *lock(&self.leaving) = names;
+        self.refresh_pools();
+    }
+
+    /// A pool of this availability zone.
+    pub fn pool(&self, key: &PoolKey) -> Arc<TargetPool> {
+        Arc::clone(lock(&self.pools).entry(key.clone()).or_default())
+    }
+
+    /// The serving peer that owns a pool; `None` where this VM owns it itself or nobody does.
+    pub fn pool_owner(&self, key: &PoolKey) -> PoolOwner {
+        let members = lock(&self.members);
+        let peers: Vec<&PeerRecord> = members.serving_in(&key.zone, Instant::now()).collect();
+        let names = peers.iter().map(|p| &p.vm.name);
+        let here = self.vm.zone == key.zone && self.state().accepts_work();
+        let own = here.then_some(&self.vm.name);
+        match choose_owner(key, names.chain(own)) {
+            None => PoolOwner::Nobody,
+            Some(name) if *name == self.vm.name => PoolOwner::Here,
+            Some(name) => peers
+                .iter()
+                .find(|p| p.vm.name == *name)
+                .map_or(PoolOwner::Nobody, |p| PoolOwner::Peer(Box::new(p.vm.clone()))),
+        }
+    }
+
+    /// This VM's heartbeat.
+    pub fn heartbeat(&self) -> Heartbeat {
+        let room = lock(&self.pools).iter().map(|(k, p)| (k.clone(), p.room())).collect();
+        Heartbeat {
+            digest: lock(&self.tree).digest(),
+            room,
+            state: self.state(),
+            vm: self.vm.clone(),
+        }
+    }
+
+    /// Takes a peer's heartbeat; one of another fleet or an older incarnation is refused.
+    pub fn hear(&self, beat: Heartbeat) -> bool {
+        beat.vm.fleet == self.vm.fleet && lock(&self.members).hear(beat, Instant::now())
+    }
+
+    /// Answers a peer's message; `None` where it is refused.
+    pub fn answer_peer(&self, message: PeerMessage) -> Option<PeerReply> {
+        match message {
+            PeerMessage::Heartbeat(beat) => {
+                self.hear(beat).then(|| PeerReply::Heartbeat(self.heartbeat()))
+            }
+            PeerMessage::Settings(query) => Some(PeerReply::Settings(self.newer_settings(&query))),
+        }
+    }
+
+    /// What this VM asks a peer for when their settings differ.
+    pub fn settings_query(&self) -> SettingsQuery {
+        let tree = lock(&self.tree);
+        SettingsQuery { versions: tree.versions().map(|(path, v)| (path.clone(), v)).collect() }
+    }
+
+    fn newer_settings(&self, query: &SettingsQuery) -> SettingsBatch {
+        let tree = lock(&self.tree);
+        let held = |path: &SettingsPath| query.versions.get(path).copied().unwrap_or_default();
+        let documents = tree
+            .versions()
+            .filter(|(path, version)| held(path) < *version)
+            .filter_map(|(path, _)| tree.document(path))
+            .map(|settings| SettingsDocument {
+                path: settings.path().clone(),
+                text: Arc::clone(settings.text()),
+                version: settings.version(),
+            })
+            .collect();
+        SettingsBatch { documents }
+    }
+
+    /// Live peers, sorted by name.
+    pub fn peers(&self) -> Vec<PeerRecord> {
+        lock(&self.members).live(Instant::now()).cloned().collect()
+    }
+
+    /// Versions in force, and refused versions with the reason.
+    pub fn with_tree<T>(&self, read: impl FnOnce(&SettingsTree) -> T) -> T {
+        read(&lock(&self.tree))
+    }
+
+    /// Answers a look-up for a client block: serving VMs, nearest to its home region first.
+    pub fn look_up(&self, block: &ClientBlock) -> LookupAnswer {
+        let snapshot = self.snapshot();
+        let home = self.home_zone(&snapshot, block);
+        let members = lock(&self.members);
+        let own = self.state().accepts_work().then_some(&self.vm);
+        let peers = members.serving(Instant::now()).map(|p| &p.vm);
+        let candidates = peers.chain(own).map(|vm| LookupCandidate {
+            delay_ms: Self::home_delay(&snapshot, &home, vm),
+            vm: LookupVm {
+                address: vm.addresses.callers,
+                name: vm.name.clone(),
+                zone: vm.zone.clone(),
+            },
+        });
+        let vms = order_vms(block, candidates.collect());
+        LookupAnswer { max_age: Self::LOOKUP_AGE, vms }
+    }
+
+    /// An availability zone of the block's home region, this VM's own where none is set.
+    fn home_zone(&self, snapshot: &Snapshot, block: &ClientBlock) -> AvailabilityZoneName {
+        let homes = Arc::clone(&lock(&self.homes));
+        homes
+            .table
+            .find(block.network().addr())
+            .and_then(|index| homes.regions.get(index as usize))
+            .and_then(|region| snapshot.region(region)?.zones.first())
+            .unwrap_or(&self.vm.zone)
+            .clone()
+    }
+
+    fn home_delay(snapshot: &Snapshot, home: &AvailabilityZoneName, vm: &EntryVm) -> f64 {
+        if snapshot.region_of(home) == Some(&vm.region) {
+            return 0.0;
+        }
+        snapshot.delay_ms(home, &vm.zone).unwrap_or(f64::MAX)
+    }
+
+    /// Whether a VM of this name is known under a live incarnation.
+    pub fn knows(&self, name: &VmName) -> bool {
+        lock(&self.members).live(Instant::now()).any(|p| p.vm.name == *name)
+    }
+}
+
+/// Who owns a pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PoolOwner {
+    /// This VM.
+    Here,
+    /// No serving entry VM of the pool's availability zone is known.
+    Nobody,
+    /// A peer.
+    Peer(Box<EntryVm>),
+}
--- /dev/null
+++ b/crates/steer/src/pool/mod.rs
@@ -0,0 +1,12 @@
+//! The targets of a service in an availability zone, with exact counts of their slots.
+
+mod permit;
+mod pool_key;
+mod pool_owner;
+mod target_pool;
+mod ticket;
+
+pub use self::{
+    permit::Permit, pool_key::PoolKey, pool_owner::choose_owner, target_pool::TargetPool,
+    ticket::Ticket,
+};
--- /dev/null
+++ b/crates/steer/src/ports/mod.rs
@@ -0,0 +1,26 @@
+//! The ports: what the decisions and flows need from outside, as traits over typed messages.
+
+mod body;
+mod clock;
+mod meter;
+mod peers;
+mod platform;
+mod platform_error;
+mod send_error;
+mod targets;
+mod tracer;
+
+pub use self::{
+    body::{Body, BodyError, empty_body, full_body, hold_until_end},
+    clock::{Clock, SystemClock},
+    meter::{Meter, NoMeter},
+    peers::{
+        Heartbeat, PeerError, PeerMessage, PeerReply, Peers, PoolRoom, SettingsBatch,
+        SettingsDocument, SettingsQuery,
+    },
+    platform::{Expected, Platform, PlatformObject, PlatformVm, VmKindTag, WatchBatch},
+    platform_error::PlatformError,
+    send_error::SendError,
+    targets::{LoadError, LoadReport, Targets},
+    tracer::{NoTracer, Span, TraceContext, Tracer},
+};
--- /dev/null
+++ b/crates/steer/src/ports/send_error.rs
@@ -0,0 +1,53 @@
+//! Failures of sending a request over a port.
+
+use super::Body;
+use derive_more::{Display, Error};
+use http::Request;
+
+/// Why no answer came, and whether the request may have run.
+///
+/// ```
+/// use http::Request;
+/// use steer::{SendError, empty_body};
+/// let error = SendError::not_sent("connection refused", Request::new(empty_body()));
+/// assert_eq!(error.to_string(), "not sent: connection refused");
+/// ```
+#[derive(Debug, Display, Error)]
+pub enum SendError {
+    /// No byte of the request left this VM; the request comes back whole.
+    #[display("not sent: {reason}")]
+    NotSent {
+        /// What the transport said.
+        reason: String,
+        /// The request, which can be sent elsewhere.
+        request: Box<Request<Body>>,
+    },
+    /// At least one byte may have left this VM.
+    #[display("sent: {reason}")]
+    Sent {
+        /// What the transport said.
+        reason: String,
+    },
+}
+
+impl SendError {
+    /// Makes an error for a request that never left this VM.
+    ///
+    /// ```
+    /// use steer::{SendError, empty_body};
+    /// let error = SendError::not_sent("refused", http::Request::new(empty_body()));
+    /// assert!(matches!(error, SendError::NotSent { .. }));
+    /// ```
+    pub fn not_sent(reason: impl Into<String>, request: Request<Body>) -> Self {
+        Self::NotSent { reason: reason.into(), request: Box::new(request) }
+    }
+
+    /// Makes an error for a request that may have left this VM.
+    ///
+    /// ```
+    /// assert_eq!(steer::SendError::sent("reset").to_string(), "sent: reset");
+    /// ```
+    pub fn sent(reason: impl Into<String>) -> Self {
+        Self::Sent { reason: reason.into() }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/ports/tracer.rs
@@ -0,0 +1,50 @@
+//! Traces: one span for each hop of a request.
+
+use std::fmt::Debug;
+
+/// The W3C trace context that a request carries from hop to hop.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TraceContext {
+    /// Value of the `traceparent` header.
+    pub traceparent: String,
+}
+
+/// A span under way; it ends when dropped.
+pub trait Span: Debug + Send {
+    /// The context that the next hop gets.
+    fn context(&self) -> Option<TraceContext>;
+    /// Notes a fact about the hop.
+    fn note(&mut self, key: &'static str, value: &str);
+}
+
+/// Starts spans.
+pub trait Tracer: Debug + Send + Sync {
+    /// Starts the span of a hop under the caller's context, if it sent one.
+    fn start(&self, name: &'static str, parent: Option<&TraceContext>) -> Box<dyn Span>;
+}
+
+/// Records nothing and passes the caller's context on.
+///
+/// ```
+/// use steer::{NoTracer, Tracer};
+/// assert_eq!(NoTracer.start("entry", None).context(), None);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoTracer;
+
+#[derive(Debug)]
+struct NoSpan(Option<TraceContext>);
+
+impl Span for NoSpan {
+    fn context(&self) -> Option<TraceContext> {
+        self.0.clone()
+    }
+
+    fn note(&mut self, _key: &'static str, _value: &str) {}
+}
+
+impl Tracer for NoTracer {
+    fn start(&self, _name: &'static str, parent: Option<&TraceContext>) -> Box<dyn Span> {
+        Box::new(NoSpan(parent.cloned()))
+    }
+}
--- /dev/null
+++ b/crates/steer/src/settings/drain_settings.rs
@@ -0,0 +1,57 @@
+//! Settings that take targets, availability zones, regions or VMs out of service.
+
+use crate::{AvailabilityZoneName, RegionName, TargetName, VmName};
+use jiff::Timestamp;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// What is drained: it gets no new work, and work under way finishes.
+///
+/// ```
+/// use steer::{DrainSettings, TargetName};
+/// let drain: DrainSettings = serde_json::from_str(r#"{ "target": "briefs-1" }"#).unwrap();
+/// assert_eq!(drain, DrainSettings::Target(TargetName::from("briefs-1")));
+/// ```
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DrainSettings {
+    /// One entry VM.
+    EntryVm(VmName),
+    /// All targets of a region.
+    Region(RegionName),
+    /// One target.
+    Target(TargetName),
+    /// All targets of an availability zone.
+    Zone(AvailabilityZoneName),
+}
+
+/// A drain that begins and ends at stated times.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Maintenance {
+    /// What is drained.
+    pub drain: DrainSettings,
+    /// When the drain begins, as an RFC 3339 time.
+    #[schemars(with = "String")]
+    pub from: Timestamp,
+    /// When the drain ends, as an RFC 3339 time.
+    #[schemars(with = "String")]
+    pub until: Timestamp,
+}
+
+impl Maintenance {
+    /// Tells whether the window is open at a time.
+    ///
+    /// ```
+    /// use steer::{DrainSettings, Maintenance};
+    /// let window = Maintenance {
+    ///     drain: DrainSettings::Region("porto".into()),
+    ///     from: "2026-01-01T00:00:00Z".parse().unwrap(),
+    ///     until: "2026-01-01T01:00:00Z".parse().unwrap(),
+    /// };
+    /// assert!(window.is_open("2026-01-01T00:30:00Z".parse().unwrap()));
+    /// ```
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.from <= now && now < self.until
+    }
+}
--- /dev/null
+++ b/crates/steer/src/settings/link_settings.rs
@@ -0,0 +1,42 @@
+//! Settings of a link between two regions.
+
+use crate::RegionName;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// A link between two regions, the same in each direction.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// The two regions.
+    pub between: [RegionName; 2],
+    /// Most traffic each way in megabits a second.
+    pub cap_mbit: u32,
+    /// One-way delay in milliseconds.
+    pub delay_ms: f64,
+}
+
+impl LinkSettings {
+    /// Tells whether the link joins two regions, in either order.
+    ///
+    /// ```
+    /// use steer::LinkSettings;
+    /// let link = LinkSettings { between: ["a".into(), "b".into()], cap_mbit: 280, delay_ms: 35.0 };
+    /// assert!(link.joins(&"b".into(), &"a".into()));
+    /// ```
+    pub fn joins(&self, a: &RegionName, b: &RegionName) -> bool {
+        let [x, y] = &self.between;
+        (x == a && y == b) || (x == b && y == a)
+    }
+
+    /// The cap in bytes a second.
+    ///
+    /// ```
+    /// use steer::LinkSettings;
+    /// let link = LinkSettings { between: ["a".into(), "b".into()], cap_mbit: 8, delay_ms: 1.0 };
+    /// assert_eq!(link.cap_bytes(), 1_000_000);
+    /// ```
+    pub fn cap_bytes(&self) -> u64 {
+        u64::from(self.cap_mbit) * 125_000
+    }
+}
--- /dev/null
+++ b/crates/steer/src/settings/mod.rs
@@ -0,0 +1,31 @@
+//! Steering settings: documents under paths, checked before they come into force.
+
+mod class_settings;
+mod drain_settings;
+mod fleet_document;
+mod link_settings;
+mod problem;
+mod service_settings;
+mod settings_path;
+mod settings_state;
+mod settings_tree;
+mod shift_settings;
+mod snapshot;
+mod target_settings;
+mod team_document;
+
+pub use self::{
+    class_settings::{ClassSettings, MatchRule, RepeatRule, Urgency},
+    drain_settings::{DrainSettings, Maintenance},
+    fleet_document::{FleetDocument, MemberSettings, RegionSettings, TeamBounds},
+    link_settings::LinkSettings,
+    problem::Problem,
+    service_settings::ServiceSettings,
+    settings_path::SettingsPath,
+    settings_state::{Checked, Document, Draft, InForce, Settings},
+    settings_tree::{PutError, SettingsTree},
+    shift_settings::ShiftSettings,
+    snapshot::{Service, Snapshot},
+    target_settings::TargetSettings,
+    team_document::TeamDocument,
+};
--- /dev/null
+++ b/crates/steer/src/settings/snapshot.rs
@@ -0,0 +1,160 @@
+//! The settings in force, joined and indexed for decisions.
+
+use super::{
+    ClassSettings, DrainSettings, FleetDocument, Maintenance, RegionSettings, ServiceSettings,
+    ShiftSettings, TeamDocument,
+};
+use crate::{AvailabilityZoneName, ClassName, RegionName, ServiceName, TargetName, TeamName};
+use jiff::Timestamp;
+use std::{collections::BTreeMap, sync::Arc};
+
+/// A service with the team that owns it.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Its settings.
+    pub settings: ServiceSettings,
+    /// Team that owns it.
+    pub team: TeamName,
+}
+
+impl Service {
+    /// Finds the class of a request: the one whose rule has the longest matching path.
+    pub fn classify(&self, method: &str, path: &str) -> Option<(&ClassName, &ClassSettings)> {
+        self.settings
+            .classes
+            .iter()
+            .flat_map(|(name, class)| class.matches.iter().map(move |rule| (name, class, rule)))
+            .filter(|(_, _, rule)| rule.matches(method, path))
+            .max_by_key(|(_, _, rule)| (rule.path.len(), !rule.methods.is_empty()))
+            .map(|(name, class, _)| (name, class))
+    }
+}
+
+/// The settings in force, joined and indexed for decisions.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    digest: u64,
+    drains: Vec<DrainSettings>,
+    fleet: Option<Arc<FleetDocument>>,
+    hosts: BTreeMap<String, ServiceName>,
+    maintenance: Vec<Maintenance>,
+    regions: BTreeMap<AvailabilityZoneName, RegionName>,
+    services: BTreeMap<ServiceName, Arc<Service>>,
+    shifts: Vec<ShiftSettings>,
+}
+
+impl Snapshot {
+    /// Starts a snapshot from the fleet's document.
+    pub fn new(fleet: Arc<FleetDocument>, digest: u64) -> Self {
+        let mut regions = BTreeMap::new();
+        for (region, settings) in &fleet.regions {
+            for zone in &settings.zones {
+                regions.insert(zone.clone(), region.clone());
+            }
+        }
+        Self {
+            digest,
+            drains: fleet.drains.iter().cloned().collect(),
+            maintenance: fleet.maintenance.clone(),
+            fleet: Some(fleet),
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a team's document.
+    pub fn add_team(&mut self, team: &TeamName, document: &TeamDocument) {
+        for (name, settings) in &document.services {
+            for host in &settings.hosts {
+                self.hosts.insert(host.clone(), name.clone());
+            }
+            let service =
+                Service { name: name.clone(), settings: settings.clone(), team: team.clone() };
+            self.services.insert(name.clone(), Arc::new(service));
+        }
+        self.drains.extend(document.drains.iter().cloned());
+        self.maintenance.extend(document.maintenance.iter().cloned());
+        self.shifts.extend(document.shifts.iter().cloned());
+    }
+
+    /// Digest of the tree that the snapshot was made from.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The fleet's document, `None` before the first settings came.
+    pub fn fleet(&self) -> Option<&FleetDocument> {
+        self.fleet.as_deref()
+    }
+
+    /// What is drained at a time, by drains and by open maintenance windows.
+    pub fn drains(&self, now: Timestamp) -> impl Iterator<Item = &DrainSettings> {
+        let open = self.maintenance.iter().filter(move |m| m.is_open(now)).map(|m| &m.drain);
+        self.drains.iter().chain(open)
+    }
+
+    /// Tells whether a target is drained at a time, by itself or with its zone or region.
+    pub fn is_drained(
+        &self,
+        target: &TargetName,
+        zone: &AvailabilityZoneName,
+        now: Timestamp,
+    ) -> bool {
+        self.drains(now).any(|drain| match drain {
+            DrainSettings::EntryVm(_) => false,
+            DrainSettings::Region(region) => self.region_of(zone) == Some(region),
+            DrainSettings::Target(name) => name == target,
+            DrainSettings::Zone(name) => name == zone,
+        })
+    }
+
+    /// One-way delay between two availability zones in milliseconds.
+    pub fn delay_ms(&self, a: &AvailabilityZoneName, b: &AvailabilityZoneName) -> Option<f64> {
+        if a == b {
+            return Some(0.0);
+        }
+        let fleet = self.fleet()?;
+        let (from, to) = (self.region_of(a)?, self.region_of(b)?);
+        if from == to {
+            return fleet.regions.get(from).map(|r| r.delay_ms);
+        }
+        fleet.links.iter().find(|link| link.joins(from, to)).map(|link| link.delay_ms)
+    }
+
+    /// The region of an availability zone.
+    pub fn region_of(&self, zone: &AvailabilityZoneName) -> Option<&RegionName> {
+        self.regions.get(zone)
+    }
+
+    /// The settings of a region.
+    pub fn region(&self, region: &RegionName) -> Option<&RegionSettings> {
+        self.fleet()?.regions.get(region)
+    }
+
+    /// The service that a host name stands for.
+    pub fn service_for_host(&self, host: &str) -> Option<&Arc<Service>> {
+        self.services.get(self.hosts.get(host)?)
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services, sorted by name.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// All traffic shifts.
+    pub fn shifts(&self) -> &[ShiftSettings] {
+        &self.shifts
+    }
+
+    /// All availability zones with their regions.
+    pub fn zones(&self) -> impl Iterator<Item = (&AvailabilityZoneName, &RegionName)> {
+        self.regions.iter()
+    }
+}
