--- a/crates/lab/tests/examples.rs
+++ b/crates/lab/tests/examples.rs
@@ -1,5 +1,7 @@
 //! The examples in `examples/` pass their check.
 
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
 use lab::{Deployment, Network};
 use std::fmt::Write;
 
@@ -13,7 +15,7 @@
         for service in snapshot.services() {
             let targets = &service.settings.targets;
             let slots: u32 = targets.values().map(|t| t.slots).sum();
-            let classes: Vec<&str> = service.settings.classes.keys().map(|c| c.as_str()).collect();
+            let classes: Vec<&str> = service.settings.classes.keys().map(AsRef::as_ref).collect();
             writeln!(
                 table,
                 "  {}: {} targets, {slots} slots, classes {}",
--- a/crates/steer/tests/block_table.rs
+++ b/crates/steer/tests/block_table.rs
@@ -1,5 +1,7 @@
 //! Longest-prefix match against a naive search over all blocks.
 
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
 use quickcheck::{Arbitrary, Gen};
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use steer::{BlockTable, ClientBlock};
--- a/crates/steer/tests/error_table.rs
+++ b/crates/steer/tests/error_table.rs
@@ -1,5 +1,7 @@
 //! The table from error kind to answer.
 
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::fmt::Write;
 use steer::ErrorKind;
 
