Measure the steering by experiments beside a naive policy

Cause: the demo shows figures but judges nothing. Change: the lab runs scenarios on fleets of their own, with seeded arrivals, events, an ideal all-knowing queue, a naive policy, checks at the stand-ins and bounds; results as table, JSON and SVG.

--- /dev/null
+++ b/crates/lab/src/callers/lookup_cache.rs
@@ -0,0 +1,82 @@
+//! Answers of look-ups, cached by callers as long as they may be.
+
+use adapters::{ConnectionPool, LOOKUP_PATH};
+use http::{Request, header::HOST};
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::empty_body;
+use tokio::time::{Instant, timeout};
+
+/// Longest wait for the answer of a look-up.
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// An answer to a look-up.
+#[derive(Debug, Deserialize)]
+struct LookupBody {
+    #[serde(rename = "max_age_s")]
+    max_age: u64,
+    vms: Vec<LookupVmBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct LookupVmBody {
+    address: SocketAddr,
+}
+
+/// The entry VMs that each caller region uses now.
+#[derive(Debug)]
+pub struct LookupCache {
+    /// Addresses that callers know from the beginning, which may be out of date.
+    bootstrap: Vec<SocketAddr>,
+    lists: Mutex<BTreeMap<usize, (Instant, Vec<SocketAddr>)>>,
+    pool: Arc<ConnectionPool>,
+}
+
+impl LookupCache {
+    /// Makes an empty cache.
+    pub fn new(bootstrap: Vec<SocketAddr>, pool: Arc<ConnectionPool>) -> Self {
+        Self { bootstrap, lists: Mutex::default(), pool }
+    }
+
+    /// The list for a region: from the cache, or from any entry VM that answers; an old list is
+    /// used where none does.
+    pub async fn list(&self, region: usize) -> Vec<SocketAddr> {
+        let held = self.lists.lock().expect("no holder of the lists panics").get(&region).cloned();
+        let old = match held {
+            Some((until, list)) if until > Instant::now() => return list,
+            Some((_, list)) => list,
+            None => Vec::new(),
+        };
+        for vm in old.iter().chain(&self.bootstrap) {
+            if let Some((age, list)) = self.ask(*vm, region).await {
+                let mut lists = self.lists.lock().expect("no holder of the lists panics");
+                lists.insert(region, (Instant::now() + age, list.clone()));
+                return list;
+            }
+        }
+        old
+    }
+
+    /// Asks one entry VM; `None` where it doesn't answer or names no VM.
+    pub async fn ask(&self, vm: SocketAddr, region: usize) -> Option<(Duration, Vec<SocketAddr>)> {
+        let block = format!("10.{}.0.0/16", region + 1);
+        let request = Request::get(format!("{LOOKUP_PATH}?block={block}"))
+            .header(HOST, vm.to_string())
+            .body(empty_body())
+            .ok()?;
+        let exchange = async {
+            let response = self.pool.send(vm, request).await.ok()?;
+            let bytes = response.into_body().collect().await.ok()?.to_bytes();
+            serde_json::from_slice::<LookupBody>(&bytes).ok()
+        };
+        let answer = timeout(ANSWER_WAIT, exchange).await.ok()??;
+        let list: Vec<SocketAddr> = answer.vms.iter().map(|vm| vm.address).collect();
+        (!list.is_empty()).then(|| (Duration::from_secs(answer.max_age), list))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/checks.rs
@@ -0,0 +1,115 @@
+//! What must never happen, read off the records of targets and callers.
+
+use crate::{Arrival, Fleet, Outcome, RequestEnd, RunRecord, Workload};
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, time::Duration};
+use steer::{RepeatRule, TargetName};
+use tokio::time::Instant;
+
+/// Counts of broken promises and what helps to judge them.
+#[derive(Clone, Debug, Default)]
+pub struct Checks {
+    /// Answers of another request.
+    pub crossed: u64,
+    /// Keys of requests that may run at most once, and ran more often.
+    pub double_runs: u64,
+    /// Requests that ended without answer or refusal.
+    pub failed: u64,
+    /// Refusals "not run" of requests that ran.
+    pub false_refusals: u64,
+    /// Requests that had not ended when the run was over.
+    pub missing: u64,
+    /// Most requests at a target above its slots.
+    pub over_slots: u32,
+    /// Runs at targets by request that ran, 1.0 where none was sent twice.
+    pub run_ratio: f64,
+    /// What each target ran.
+    pub runs: BTreeMap<TargetName, Vec<RunRecord>>,
+}
+
+impl Checks {
+    /// Reads the records.
+    pub fn new(
+        fleet: &Fleet,
+        arrivals: &[Arrival],
+        ends: &[Option<RequestEnd>],
+        workloads: &[Workload],
+    ) -> Self {
+        let runs: BTreeMap<TargetName, Vec<RunRecord>> =
+            fleet.targets.iter().map(|(name, target)| (name.clone(), target.runs())).collect();
+        let mut by_key: BTreeMap<&str, u64> = BTreeMap::new();
+        for key in runs.values().flatten().filter_map(|run| run.key.as_deref()) {
+            *by_key.entry(key).or_default() += 1;
+        }
+        let mut checks =
+            Self { missing: ends.iter().filter(|e| e.is_none()).count() as u64, ..Self::default() };
+        for (arrival, end) in arrivals.iter().zip(ends) {
+            let Some(end) = end else { continue };
+            let ran = by_key.get(end.key.as_str()).copied().unwrap_or_default();
+            let workload = &workloads[arrival.workload];
+            checks.crossed += u64::from(end.crossed);
+            checks.failed += u64::from(end.outcome == Outcome::Failed);
+            checks.false_refusals += u64::from(end.outcome == Outcome::Refused && ran > 0);
+            checks.double_runs += u64::from(is_once(fleet, workload) && ran > 1);
+        }
+        checks.over_slots = most_over_slots(fleet);
+        let total: u64 = by_key.values().sum();
+        checks.run_ratio = total as f64 / by_key.len().max(1) as f64;
+        checks.runs = runs;
+        checks
+    }
+
+    /// Starts of requests at targets that a filter picks, in order of time.
+    pub fn starts(&self, pick: impl Fn(&TargetName, &RunRecord) -> bool) -> Vec<Instant> {
+        let mut starts: Vec<Instant> = self
+            .runs
+            .iter()
+            .flat_map(|(name, runs)| runs.iter().map(move |run| (name, run)))
+            .filter(|(name, run)| pick(name, run))
+            .map(|(_, run)| run.at)
+            .collect();
+        starts.sort_unstable();
+        starts
+    }
+
+    /// The counts as JSON.
+    pub fn to_json(&self) -> Value {
+        json!({
+            "crossed": self.crossed,
+            "double_runs": self.double_runs,
+            "failed": self.failed,
+            "false_refusals": self.false_refusals,
+            "missing": self.missing,
+            "over_slots": self.over_slots,
+            "run_ratio": self.run_ratio,
+        })
+    }
+}
+
+/// Most events in any window of a length.
+pub fn most_in_window(times: &[Instant], length: Duration) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, time) in times.iter().enumerate() {
+        while *time - times[first] >= length {
+            first += 1;
+        }
+        most = most.max(last - first + 1);
+    }
+    most
+}
+
+fn is_once(fleet: &Fleet, workload: &Workload) -> bool {
+    let service = fleet.snapshot.service(&workload.service.into());
+    let class = service.and_then(|s| s.settings.classes.get(workload.class));
+    class.is_some_and(|c| c.repeat == RepeatRule::AtMostOnce)
+}
+
+fn most_over_slots(fleet: &Fleet) -> u32 {
+    let targets = fleet.snapshot.services().flat_map(|s| &s.settings.targets);
+    let over = targets.filter_map(|(name, settings)| {
+        let (most, _) = fleet.targets.get(name)?.extremes();
+        Some(most.saturating_sub(settings.slots))
+    });
+    over.max().unwrap_or(0)
+}
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -80,6 +80,11 @@
         names.enumerate().map(|(i, zone)| (i as u8 + 1, zone)).collect()
     }
 
+    /// Paths and texts of the settings documents as the examples hold them.
+    pub fn raw_documents(&self) -> &'static [(&'static str, &'static str)] {
+        self.documents
+    }
+
     /// Paths and texts of the settings documents on a network.
     pub fn documents(&self, network: Network) -> Vec<(SettingsPath, String)> {
         let parse = |path| SettingsPath::parse(path).expect("the table holds valid paths");
--- /dev/null
+++ b/crates/lab/src/experiments/plot.rs
@@ -0,0 +1,55 @@
+//! Plots of latencies.
+
+use crate::Report;
+use plotters::{
+    chart::ChartBuilder,
+    coord::combinators::IntoLogRange,
+    drawing::IntoDrawingArea,
+    element::PathElement,
+    prelude::SVGBackend,
+    series::LineSeries,
+    style::{BLACK, Color, Palette, Palette99, WHITE},
+};
+use std::{error::Error, path::Path};
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (800, 500);
+/// Points of a curve.
+const POINTS: u32 = 200;
+
+/// Draws the latency of short work over the part of requests that took longer.
+pub(super) fn plot_latencies(
+    path: &Path,
+    title: &str,
+    reports: &[(&str, &Report)],
+) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let highest = reports.iter().map(|(_, r)| r.short_ms(1.0)).fold(10.0, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..4.0, (1.0..highest).log_scale())?;
+    chart
+        .configure_mesh()
+        .x_desc("quantile")
+        .x_label_formatter(&|x| format!("{:.2}%", 100.0 * (1.0 - 10f64.powf(-x))))
+        .y_desc("latency in ms")
+        .draw()?;
+    for (index, (label, report)) in reports.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let curve = (0..=POINTS).map(|i| {
+            let x = 4.0 * f64::from(i) / f64::from(POINTS);
+            (x, report.short_ms(1.0 - 10f64.powf(-x)).max(1.0))
+        });
+        chart
+            .draw_series(LineSeries::new(curve, color.stroke_width(2)))?
+            .label(*label)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,13 +1,13 @@
 //! A whole fleet on loopback: platform, links, targets and entry VMs.
 
 use crate::{
-    Deployment, LinkStandIn, Network, PlatformStandIn, TargetStandIn,
+    Deployment, LinkStandIn, Network, PlatformStandIn, RelaySwitch, TargetStandIn,
     linked_peers::{DEPLOYMENT_VARIABLE, ZONE_VARIABLE},
 };
 use adapters::PlatformVmBody;
 use serde_json::json;
 use std::{collections::BTreeMap, env, error::Error, fs, path::PathBuf, sync::Arc, time::Duration};
-use steer::{RegionName, Snapshot, TargetName};
+use steer::{AvailabilityZoneName, RegionName, Snapshot, TargetName};
 use tokio::process::{Child, Command};
 
 /// Cap of links inside a region in bytes a second.
@@ -31,40 +31,70 @@
     /// Targets by name.
     pub targets: BTreeMap<TargetName, Arc<TargetStandIn>>,
     deployment: Deployment,
+    line_rate: f64,
+    relays: Vec<Relay>,
+}
+
+/// A relay between two availability zones.
+#[derive(Debug)]
+struct Relay {
+    ends: [AvailabilityZoneName; 2],
+    platform: bool,
+    switch: RelaySwitch,
+}
+
+/// Finds a loopback network that no other run uses, and serves the platform on it.
+async fn free_network(platform: &Arc<PlatformStandIn>) -> Result<Network, Box<dyn Error>> {
+    let first = std::process::id();
+    for n in 0..u32::from(Network::RUNS) {
+        let network = Network::numbered(first + n);
+        if platform.serve(network.platform()).await.is_ok() {
+            return Ok(network);
+        }
+    }
+    Err("all loopback networks are in use".into())
 }
 
 impl Fleet {
-    /// Starts everything and waits until each entry VM answers.
+    /// Starts platform, links and targets, and entry VMs where they are asked for.
     ///
     /// # Errors
     ///
     /// Where an address can't be bound or a process can't be started.
-    pub async fn start(deployment: Deployment) -> Result<Self, Box<dyn Error>> {
-        let network = Network::of_process();
-        let name = format!("ragwortswitch-{}-{}", deployment.name(), std::process::id());
+    pub async fn start(
+        deployment: Deployment,
+        entry_vms: bool,
+        line_rate: f64,
+    ) -> Result<Self, Box<dyn Error>> {
+        let platform = PlatformStandIn::new();
+        let network = free_network(&platform).await?;
+        let name = format!("ragwortswitch-{}-{}", deployment.name(), network.run());
         let directory = env::temp_dir().join(name);
         fs::create_dir_all(&directory)?;
         let mut fleet = Self {
             deployment,
             directory,
             entry_vms: BTreeMap::new(),
+            line_rate,
+            relays: Vec::new(),
             links: BTreeMap::new(),
             network,
-            platform: PlatformStandIn::new(),
+            platform,
             snapshot: deployment.snapshot(network)?,
             targets: BTreeMap::new(),
         };
-        fleet.start_platform().await?;
+        fleet.fill_platform();
         fleet.start_links().await?;
         fleet.start_targets().await?;
-        for (vm, _) in deployment.entry_vms() {
-            fleet.start_entry_vm(vm)?;
+        if entry_vms {
+            for (vm, _) in deployment.entry_vms() {
+                fleet.start_entry_vm(vm)?;
+            }
         }
         Ok(fleet)
     }
 
-    async fn start_platform(&mut self) -> Result<(), Box<dyn Error>> {
-        self.platform.serve(self.network.platform()).await?;
+    fn fill_platform(&self) {
         for (path, text) in self.deployment.documents(self.network) {
             self.platform.put(&path.to_platform(), &text, "operator");
         }
@@ -84,7 +114,6 @@
             zone: t.zone.to_string(),
         });
         self.platform.set_vms(entry_vms.chain(targets).collect());
-        Ok(())
     }
 
     /// Starts a relay from each availability zone to each entry VM of another, and to the
@@ -100,12 +129,16 @@
                 let (link, forward) = self.link(from, &to);
                 for port in [Network::HANDOFF, Network::PEERS] {
                     let near = self.network.link(number, vm, port);
-                    link.relay(near, self.network.entry(vm, port), forward).await?;
+                    let switch = link.relay(near, self.network.entry(vm, port), forward).await?;
+                    let ends = [from.clone(), to.clone()];
+                    self.relays.push(Relay { ends, platform: false, switch });
                 }
             }
             let (link, forward) = self.link(from, &zones[0]);
             let near = self.network.platform_link(number);
-            link.relay(near, self.network.platform(), forward).await?;
+            let switch = link.relay(near, self.network.platform(), forward).await?;
+            let ends = [from.clone(), zones[0].clone()];
+            self.relays.push(Relay { ends, platform: true, switch });
         }
         Ok(())
     }
@@ -113,8 +146,8 @@
     /// The link between two zones, and whether it goes forward from the first to the second.
     fn link(
         &mut self,
-        from: &steer::AvailabilityZoneName,
-        to: &steer::AvailabilityZoneName,
+        from: &AvailabilityZoneName,
+        to: &AvailabilityZoneName,
     ) -> (Arc<LinkStandIn>, bool) {
         let region = |zone| self.snapshot.region_of(zone).cloned().unwrap_or_else(|| "?".into());
         let (a, b) = (region(from), region(to));
@@ -125,6 +158,7 @@
         let fleet = self.snapshot.fleet();
         let settings = fleet.and_then(|f| f.links.iter().find(|link| link.joins(&a, &b)));
         let cap = settings.map_or(LOCAL_CAP, steer::LinkSettings::cap_bytes);
+        let cap = (cap as f64 * self.line_rate) as u64;
         let forward = a < b;
         let key = if forward { (a, b) } else { (b, a) };
         let link = self.links.entry(key).or_insert_with(|| LinkStandIn::new(delay, cap));
@@ -185,3 +219,60 @@
         Ok(())
     }
 }
+
+impl Fleet {
+    /// Sends a signal to an entry VM's process.
+    ///
+    /// # Errors
+    ///
+    /// Where the VM doesn't run or the signal can't be sent.
+    pub async fn signal(&self, vm: u8, signal: &str) -> Result<(), Box<dyn Error>> {
+        let child = self.entry_vms.get(&vm).ok_or("no such entry VM")?;
+        let id = child.id().ok_or("the entry VM has ended")?;
+        Command::new("kill").args(["-s", signal, &id.to_string()]).status().await?;
+        Ok(())
+    }
+
+    /// Cuts or heals what joins a region to the others and to the platform, by its number.
+    pub fn cut_region(&self, region: usize, cut: bool) {
+        let name = self.regions().get(region).map(|r| RegionName::from(r.as_str()));
+        self.cut(cut, |zone| self.snapshot.region_of(zone) == name.as_ref());
+    }
+
+    /// Cuts or heals what joins an availability zone to the others and to the platform.
+    pub fn cut_zone(&self, zone: u8, cut: bool) {
+        self.cut(cut, |name| self.deployment.zone_number(name) == zone);
+    }
+
+    /// Cuts or heals every VM's way to the platform.
+    pub fn cut_platform(&self, cut: bool) {
+        for relay in self.relays.iter().filter(|relay| relay.platform) {
+            relay.switch.set_cut(cut);
+        }
+    }
+
+    /// Cuts or heals the relays with one end inside.
+    fn cut(&self, cut: bool, inside: impl Fn(&AvailabilityZoneName) -> bool) {
+        for relay in &self.relays {
+            let [a, b] = &relay.ends;
+            if inside(a) != inside(b) {
+                relay.switch.set_cut(cut);
+            }
+        }
+    }
+
+    /// Names of the regions.
+    pub fn regions(&self) -> Vec<String> {
+        let fleet = self.snapshot.fleet();
+        fleet.into_iter().flat_map(|f| f.regions.keys()).map(ToString::to_string).collect()
+    }
+
+    /// Slots of all targets of a region, or of all regions.
+    pub fn slots(&self, region: Option<&RegionName>) -> u32 {
+        let targets = self.snapshot.services().flat_map(|s| s.settings.targets.values());
+        targets
+            .filter(|t| region.is_none() || self.snapshot.region_of(&t.zone) == region)
+            .map(|t| t.slots)
+            .sum()
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,21 +6,39 @@
 //! ```
 
 mod arrivals;
+mod callers;
+mod checks;
 mod demo;
 mod deployment;
+mod experiments;
 mod fleet;
+mod ideal;
 mod linked_peers;
 mod network;
 mod report;
+mod run;
+mod samples;
+mod scenario;
 mod stand_ins;
+mod workload;
 
 pub use self::{
-    arrivals::{Arrival, Arrivals, Workload, workloads},
+    arrivals::{Arrival, make_arrivals},
+    callers::{Callers, LookupCache, NaiveFront, RequestEnd},
+    checks::{Checks, most_in_window},
     demo::{DemoOptions, run_demo},
     deployment::Deployment,
+    experiments::{Bound, ExperimentOptions, ExperimentResult, Measure, NAMES, run_experiment},
     fleet::Fleet,
+    ideal::ideal_report,
     linked_peers::wrap_peers,
     network::Network,
     report::{Outcome, Report},
-    stand_ins::{LinkStandIn, PlatformStandIn, TargetControls, TargetStandIn},
+    run::{RunResult, run_scenario},
+    samples::{Sample, Samples, Sampling},
+    scenario::{Action, Policy, Scenario},
+    stand_ins::{
+        LinkStandIn, PlatformStandIn, RelaySwitch, RunRecord, TargetControls, TargetStandIn,
+    },
+    workload::{Workload, workloads},
 };
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -20,6 +20,8 @@
     const LINK: u8 = 150;
     /// Third byte of the platform's address.
     const PLATFORM: u8 = 200;
+    /// Networks that there are.
+    pub const RUNS: u8 = 250;
     /// Port of callers' requests at an entry VM.
     pub const CALLERS: u16 = 8080;
     /// Port of requests that peers hand over.
@@ -40,13 +42,18 @@
         Self { run }
     }
 
-    /// A network that other processes of this machine are unlikely to use.
+    /// The network for any number, which wraps around.
     ///
     /// ```
-    /// assert!(lab::Network::of_process().platform().ip().is_loopback());
+    /// assert!(lab::Network::numbered(70_000).platform().ip().is_loopback());
     /// ```
-    pub fn of_process() -> Self {
-        Self::new(2 + (std::process::id() % 250) as u8)
+    pub fn numbered(number: u32) -> Self {
+        Self::new(2 + (number % u32::from(Self::RUNS)) as u8)
+    }
+
+    /// The number of the run.
+    pub fn run(self) -> u8 {
+        self.run
     }
 
     fn address(self, third: u8, last: u8, port: u16) -> SocketAddr {
--- a/crates/lab/src/stand_ins/link.rs
+++ b/crates/lab/src/stand_ins/link.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -16,7 +16,7 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until},
 };
 
@@ -47,26 +47,31 @@
     }
 }
 
-/// A link between two places, the same each way; may be cut.
+/// A link between two places, the same each way.
 #[derive(Debug)]
 pub struct LinkStandIn {
     backward: Direction,
     cap: u64,
-    cut: AtomicBool,
     delay: Duration,
     forward: Direction,
 }
 
+/// Cuts and heals one relay over a link. While it is cut, nothing passes on its connections and
+/// new ones are refused.
+#[derive(Clone, Debug)]
+pub struct RelaySwitch(Arc<watch::Sender<bool>>);
+
+impl RelaySwitch {
+    /// Cuts the relay, or heals it.
+    pub fn set_cut(&self, cut: bool) {
+        self.0.send_replace(cut);
+    }
+}
+
 impl LinkStandIn {
     /// Makes a link from one-way delay and cap in bytes a second.
     pub fn new(delay: Duration, cap: u64) -> Arc<Self> {
-        let cut = AtomicBool::new(false);
-        Arc::new(Self { backward: Direction::new(), cap, cut, delay, forward: Direction::new() })
-    }
-
-    /// Cuts the link, or heals it: nothing passes while it is cut.
-    pub fn set_cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::Relaxed);
+        Arc::new(Self { backward: Direction::new(), cap, delay, forward: Direction::new() })
     }
 
     /// Bytes that went forward and backward so far.
@@ -86,19 +91,49 @@
         from: SocketAddr,
         to: SocketAddr,
         forward: bool,
-    ) -> io::Result<()> {
+    ) -> io::Result<RelaySwitch> {
         let listener = TcpListener::bind(from).await?;
-        let link = Arc::clone(self);
-        tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                let link = Arc::clone(&link);
-                tokio::spawn(async move {
-                    // A connection that fails ends here; both sides see it close.
-                    let _ended = link.join(near, to, forward).await;
-                });
+        let switch = RelaySwitch(Arc::new(watch::Sender::new(false)));
+        let (link, cut) = (Arc::clone(self), switch.0.subscribe());
+        tokio::spawn(async move { link.accept(listener, to, forward, cut).await });
+        Ok(switch)
+    }
+
+    async fn accept(
+        self: Arc<Self>,
+        listener: TcpListener,
+        to: SocketAddr,
+        forward: bool,
+        cut: watch::Receiver<bool>,
+    ) {
+        let mut own_cut = cut.clone();
+        let Ok(from) = listener.local_addr() else { return };
+        let mut listener = Some(listener);
+        loop {
+            let Some(open) = &listener else {
+                if own_cut.wait_for(|cut| !cut).await.is_err() {
+                    return;
+                }
+                listener = TcpListener::bind(from).await.ok();
+                continue;
+            };
+            tokio::select! {
+                accepted = open.accept() => {
+                    let Ok((near, _)) = accepted else { return };
+                    let (link, cut) = (Arc::clone(&self), cut.clone());
+                    tokio::spawn(async move {
+                        // A connection that fails ends here; both sides see it close.
+                        let _ended = link.join(near, to, forward, cut).await;
+                    });
+                }
+                changed = own_cut.wait_for(|cut| *cut) => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    listener = None;
+                }
             }
-        });
-        Ok(())
+        }
     }
 
     async fn join(
@@ -106,8 +141,8 @@
         near: TcpStream,
         to: SocketAddr,
         forward: bool,
+        cut: watch::Receiver<bool>,
     ) -> io::Result<()> {
-        self.wait_while_cut().await;
         sleep(self.delay * 2).await;
         let far = TcpStream::connect(to).await?;
         near.set_nodelay(true)?;
@@ -115,8 +150,8 @@
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
         tokio::join!(
-            self.carry(near_read, far_write, forward),
-            self.carry(far_read, near_write, !forward),
+            self.carry(near_read, far_write, forward, cut.clone()),
+            self.carry(far_read, near_write, !forward, cut),
         );
         Ok(())
     }
@@ -127,6 +162,7 @@
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
         forward: bool,
+        mut cut: watch::Receiver<bool>,
     ) {
         let (sender, mut receiver) = mpsc::channel::<(Instant, Bytes)>(WINDOW);
         let direction = if forward { &self.forward } else { &self.backward };
@@ -146,7 +182,9 @@
         let write = async move {
             while let Some((due, bytes)) = receiver.recv().await {
                 sleep_until(due).await;
-                self.wait_while_cut().await;
+                if cut.wait_for(|cut| !cut).await.is_err() {
+                    return;
+                }
                 if to.write_all(&bytes).await.is_err() {
                     return;
                 }
@@ -154,10 +192,4 @@
         };
         tokio::join!(read, write);
     }
-
-    async fn wait_while_cut(&self) {
-        while self.cut.load(Ordering::Relaxed) {
-            sleep(Duration::from_millis(20)).await;
-        }
-    }
 }
--- a/crates/lab/src/stand_ins/mod.rs
+++ b/crates/lab/src/stand_ins/mod.rs
@@ -5,7 +5,7 @@
 mod target;
 
 pub use self::{
-    link::LinkStandIn,
+    link::{LinkStandIn, RelaySwitch},
     platform::PlatformStandIn,
-    target::{TargetControls, TargetStandIn},
+    target::{RunRecord, TargetControls, TargetStandIn},
 };
