Check settings with place, line and bounds, and refuse bad ones alone

Cause: documents were parsed without semantic checks, errors had no place inside the document, and a team could reach past what the fleet's settings give it. Change: errors carry line, column, path, what was found and what is allowed; semantic checks for fleet and team documents; bounds of teams, waiting documents, and documents limited by a narrower fleet document.

--- a/crates/lab/tests/examples.rs
+++ b/crates/lab/tests/examples.rs
@@ -1,9 +1,17 @@
-//! The examples in `examples/` pass their check.
+//! The examples in `examples/` pass their check, and malformed ones are refused alone.
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use lab::{Deployment, Network};
+use quickcheck::{Arbitrary, Gen};
 use std::fmt::Write;
+use steer::{Problem, Settings, SettingsPath, SettingsTree};
+
+/// Malformed versions tried for each example.
+const MUTATIONS: u64 = 500;
+/// Pieces that a careless edit may leave behind.
+const PIECES: [&str; 12] =
+    ["{", "}", "[", "]", ",", ":", "\"", "0", "-1", "null", "// ", "\"zone\": \"lis-a\""];
 
 #[test]
 fn examples_have_the_sizes_of_the_deployments() {
@@ -28,3 +36,67 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Changes a text in one to three places, at the borders of characters.
+fn mutate(text: &str, g: &mut Gen) -> String {
+    let mut text = text.to_owned();
+    for _ in 0..=u8::arbitrary(g) % 3 {
+        let borders: Vec<usize> = text.char_indices().map(|(i, _)| i).collect();
+        let Some(start) = g.choose(&borders).copied() else { return text };
+        let end = borders.iter().copied().find(|b| *b >= start + 1 + usize::arbitrary(g) % 20);
+        let end = end.unwrap_or(text.len());
+        match u8::arbitrary(g) % 4 {
+            0 => text.replace_range(start..end, ""),
+            1 => text.insert_str(start, g.choose(&PIECES).unwrap()),
+            2 => text.insert_str(start, &text[start..end].to_owned()),
+            _ => text.replace_range(start..end, &char::arbitrary(g).to_string()),
+        }
+    }
+    text
+}
+
+/// Offers a document as an entry VM does.
+fn offer(tree: &mut SettingsTree, path: &SettingsPath, version: u64, text: &str) -> Vec<Problem> {
+    let result = match Settings::new(path.clone(), version, text).check() {
+        Ok(checked) => match tree.put_in_force(checked) {
+            Err(steer::PutError::OutOfBounds(problems)) => problems,
+            other => return other.map(|()| Vec::new()).unwrap(),
+        },
+        Err(problems) => problems,
+    };
+    tree.note_refused(path.clone(), version, result.clone());
+    result
+}
+
+#[test]
+fn malformed_examples_are_refused_alone_with_a_place() {
+    let mut table = String::new();
+    for name in ["vitrine", "zadruga"] {
+        let documents = Deployment::by_name(name).unwrap().documents(Network::new(1));
+        let mut good = SettingsTree::new();
+        for (path, text) in &documents {
+            assert_eq!(offer(&mut good, path, 1, text), [], "{path}");
+        }
+        for (path, text) in &documents {
+            let mut refused = 0;
+            for seed in 0..MUTATIONS {
+                let bad = mutate(text, &mut Gen::from_size_and_seed(20, seed));
+                let mut tree = good.clone();
+                let problems = offer(&mut tree, path, 2, &bad);
+                let expected = if problems.is_empty() { 2 } else { 1 };
+                for (other, version) in tree.versions() {
+                    assert_eq!(version, if other == path { expected } else { 1 }, "seed {seed}");
+                }
+                assert_eq!(tree.refused().count() as u64, 2 - expected, "seed {seed}");
+                for Problem { position, place, reason } in &problems {
+                    let lines = bad.lines().count().max(1) + 1;
+                    assert!((1..=lines).contains(&position.line), "seed {seed}: {position}");
+                    assert!(!place.is_empty() && !reason.is_empty(), "seed {seed}");
+                }
+                refused += u64::from(!problems.is_empty());
+            }
+            writeln!(table, "{name} {path}: {refused} of {MUTATIONS} refused").unwrap();
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -122,9 +122,15 @@
                 return false;
             }
         };
-        if let Err(PutError::OutOfBounds(problems)) = tree.put_in_force(checked) {
-            tree.note_refused(path.clone(), *version, problems);
-            return false;
+        match tree.put_in_force(checked) {
+            Ok(()) => {}
+            Err(PutError::OutOfBounds(problems)) => {
+                let first = problems.first().map(ToString::to_string).unwrap_or_default();
+                warn!(self.log, "settings: refused a document out of its team's bounds";
+                    "path" => %path, "version" => version, "reason" => first);
+                return false;
+            }
+            Err(PutError::Stale { .. } | PutError::Waiting) => return false,
         }
         let snapshot = Arc::new(tree.to_snapshot());
         drop(tree);
--- /dev/null
+++ b/crates/steer/src/settings/bounds.rs
@@ -0,0 +1,158 @@
+//! The bounds that the fleet's document sets to a team's.
+
+use super::{Findings, FleetDocument, Place, ServiceSettings, TeamBounds, TeamDocument};
+use crate::{AvailabilityZoneName, RegionName, ServiceName, TargetName, TeamName};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+/// What the services of other teams hold, which a team can't have too.
+#[derive(Debug, Default)]
+pub(super) struct Taken {
+    addresses: BTreeMap<SocketAddr, TeamName>,
+    hosts: BTreeMap<String, TeamName>,
+    targets: BTreeMap<TargetName, TeamName>,
+}
+
+impl Taken {
+    /// Notes what a team's services hold.
+    pub(super) fn add(&mut self, team: &TeamName, document: &TeamDocument) {
+        for service in document.services.values() {
+            for host in &service.hosts {
+                self.hosts.insert(host.clone(), team.clone());
+            }
+            for (name, target) in &service.targets {
+                self.addresses.insert(target.address, team.clone());
+                self.targets.insert(name.clone(), team.clone());
+            }
+        }
+    }
+}
+
+/// The bounds of one team.
+#[derive(Debug)]
+pub(super) struct Bounds<'a> {
+    fleet: &'a FleetDocument,
+    grant: Option<&'a TeamBounds>,
+    team: &'a TeamName,
+    zones: BTreeSet<&'a AvailabilityZoneName>,
+}
+
+impl<'a> Bounds<'a> {
+    /// Reads a team's bounds from the fleet's document.
+    pub(super) fn new(fleet: &'a FleetDocument, team: &'a TeamName) -> Self {
+        let zones = fleet.regions.values().flat_map(|r| &r.zones).collect();
+        Self { fleet, grant: fleet.teams.get(team), team, zones }
+    }
+
+    /// Gives the part of a document that lies within the bounds, and finds what lies outside.
+    pub(super) fn limit(
+        &self,
+        document: &TeamDocument,
+        taken: &Taken,
+        found: &mut Findings,
+    ) -> TeamDocument {
+        let Some(grant) = self.grant else {
+            let known: Vec<String> = self.fleet.teams.keys().map(ToString::to_string).collect();
+            let near = super::findings::suggest(self.team.as_str(), &known);
+            found.add(&Place::root(), format!("the fleet has no team `{}`; {near}", self.team));
+            return TeamDocument::default();
+        };
+        let mut limited = document.clone();
+        limited.services.retain(|name, service| {
+            let place = Place::root().key("services").key(name.as_str());
+            self.is_granted(grant, name, &place, found) && {
+                self.limit_service(service, taken, &place, found);
+                true
+            }
+        });
+        self.limit_shifts(grant, &mut limited, found);
+        limited
+    }
+
+    fn is_granted(
+        &self,
+        grant: &TeamBounds,
+        name: &ServiceName,
+        place: &Place,
+        found: &mut Findings,
+    ) -> bool {
+        let granted = grant.services.contains(name);
+        found.expect(granted, place, || {
+            let names: Vec<String> = grant.services.iter().map(|s| format!("`{s}`")).collect();
+            let allowed = if names.is_empty() { "none".to_owned() } else { names.join(", ") };
+            format!("the fleet doesn't give service `{name}` to this team; allowed: {allowed}")
+        });
+        granted
+    }
+
+    fn limit_service(
+        &self,
+        service: &mut ServiceSettings,
+        taken: &Taken,
+        place: &Place,
+        found: &mut Findings,
+    ) {
+        let mut index = 0;
+        service.hosts.retain(|host| {
+            let here = place.key("hosts").index(index);
+            index += 1;
+            self.is_free(taken.hosts.get(host), "host", host, &here, found)
+        });
+        service.targets.retain(|name, target| {
+            let here = place.key("targets").key(name.as_str());
+            let zone = here.key("zone");
+            found.expect_known("availability zone", &target.zone, &self.zones, &zone);
+            let address = target.address.to_string();
+            let by_address = taken.addresses.get(&target.address);
+            self.zones.contains(&target.zone)
+                & self.is_free(taken.targets.get(name), "target", name.as_str(), &here, found)
+                & self.is_free(by_address, "address", &address, &here.key("address"), found)
+        });
+        let shares = place.key("shares");
+        service.shares.retain(|home, _| self.is_region(home, &shares.key(home.as_str()), found));
+        for (home, parts) in &mut service.shares {
+            let here = shares.key(home.as_str());
+            parts.retain(|region, _| self.is_region(region, &here.key(region.as_str()), found));
+        }
+    }
+
+    /// Leaves out shifts of services or regions that aren't there, and lowers caps to the bound.
+    fn limit_shifts(&self, grant: &TeamBounds, limited: &mut TeamDocument, found: &mut Findings) {
+        let TeamDocument { services, shifts, .. } = limited;
+        let mut index = 0;
+        shifts.retain_mut(|shift| {
+            let place = Place::root().key("shifts").index(index);
+            index += 1;
+            found.expect(shift.cap <= grant.max_shift, &place.key("cap"), || {
+                let (cap, most) = (shift.cap, grant.max_shift);
+                format!("{cap} is above the team's bound of {most} requests a second")
+            });
+            shift.cap = shift.cap.min(grant.max_shift);
+            services.contains_key(&shift.service)
+                & self.is_region(&shift.from, &place.key("from"), found)
+                & self.is_region(&shift.to, &place.key("to"), found)
+        });
+    }
+
+    fn is_region(&self, region: &RegionName, place: &Place, found: &mut Findings) -> bool {
+        found.expect_known("region", region, self.fleet.regions.keys(), place);
+        self.fleet.regions.contains_key(region)
+    }
+
+    fn is_free(
+        &self,
+        holder: Option<&TeamName>,
+        what: &str,
+        name: &str,
+        place: &Place,
+        found: &mut Findings,
+    ) -> bool {
+        let other = holder.filter(|team| *team != self.team);
+        if let Some(team) = other {
+            found.add(place, format!("{what} `{name}` belongs to team `{team}` already"));
+        }
+        other.is_none()
+    }
+}
--- a/crates/steer/src/settings/drain_settings.rs
+++ b/crates/steer/src/settings/drain_settings.rs
@@ -25,6 +25,22 @@
     Zone(AvailabilityZoneName),
 }
 
+impl DrainSettings {
+    /// The name of what is drained.
+    ///
+    /// ```
+    /// assert_eq!(steer::DrainSettings::Zone("lis-a".into()).name(), "lis-a");
+    /// ```
+    pub fn name(&self) -> &str {
+        match self {
+            Self::EntryVm(name) => name.as_str(),
+            Self::Region(name) => name.as_str(),
+            Self::Target(name) => name.as_str(),
+            Self::Zone(name) => name.as_str(),
+        }
+    }
+}
+
 /// A drain that begins and ends at stated times.
 #[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/steer/src/settings/findings.rs
@@ -0,0 +1,77 @@
+//! What the checks of a document found.
+
+use super::{Place, Problem, source};
+use std::fmt::Display;
+use strsim::jaro_winkler;
+
+/// Similarity above which a known name is suggested for an unknown one.
+const SUGGEST_ABOVE: f64 = 0.75;
+/// Most known names that an error lists.
+const LISTED_NAMES: usize = 8;
+
+/// Collects what checks find, without line and column at first: those are worked out only for a
+/// document that is refused.
+#[derive(Debug, Default)]
+pub(super) struct Findings {
+    list: Vec<(Place, String)>,
+}
+
+impl Findings {
+    /// Adds a finding.
+    pub(super) fn add(&mut self, place: &Place, reason: impl Into<String>) {
+        self.list.push((place.clone(), reason.into()));
+    }
+
+    /// Adds a finding unless a condition holds.
+    pub(super) fn expect(&mut self, holds: bool, place: &Place, reason: impl FnOnce() -> String) {
+        if !holds {
+            self.add(place, reason());
+        }
+    }
+
+    /// Adds a finding where a name isn't among the known ones.
+    pub(super) fn expect_known<N: AsRef<str> + Display + Ord>(
+        &mut self,
+        what: &str,
+        name: &N,
+        known: impl IntoIterator<Item = impl AsRef<str>>,
+        place: &Place,
+    ) {
+        let known: Vec<String> = known.into_iter().map(|n| n.as_ref().to_owned()).collect();
+        if !known.iter().any(|n| n == name.as_ref()) {
+            self.add(place, format!("unknown {what} `{name}`; {}", suggest(name.as_ref(), &known)));
+        }
+    }
+
+    /// Whether nothing was found.
+    pub(super) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Gives each finding its line and column, sorted by them.
+    pub(super) fn locate(self, text: &str) -> Vec<Problem> {
+        let places: Vec<&Place> = self.list.iter().map(|(place, _)| place).collect();
+        let positions = source::positions(text, &places);
+        let found = self.list.iter().zip(positions);
+        let mut problems: Vec<Problem> = found
+            .map(|((place, reason), at)| Problem::new(place.to_string(), reason).at(at))
+            .collect();
+        problems.sort_by_key(|p| p.position);
+        problems
+    }
+}
+
+/// Names the nearest known name, or what is known.
+pub(super) fn suggest(name: &str, known: &[String]) -> String {
+    if known.is_empty() {
+        return "none is known".to_owned();
+    }
+    let score = |other: &String| jaro_winkler(name, other);
+    let nearest = known.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
+    if let Some(nearest) = nearest.filter(|n| score(n) > SUGGEST_ABOVE) {
+        return format!("did you mean `{nearest}`?");
+    }
+    let listed: Vec<String> = known.iter().take(LISTED_NAMES).map(|n| format!("`{n}`")).collect();
+    let more = if known.len() > LISTED_NAMES { " …" } else { "" };
+    format!("known are {}{more}", listed.join(", "))
+}
--- a/crates/steer/src/settings/settings_state.rs
+++ b/crates/steer/src/settings/settings_state.rs
@@ -1,7 +1,9 @@
 //! The life cycle of a settings document.
 
-use super::{FleetDocument, Problem, SettingsPath, TeamDocument};
-use jsonc_parser::ParseOptions;
+use super::{
+    FleetDocument, Problem, SettingsPath, TeamDocument, check_fleet::check_fleet,
+    check_team::check_team, source::parse_jsonc,
+};
 use std::sync::Arc;
 
 /// The parsed content of a settings document.
@@ -75,33 +77,30 @@
     ///
     /// # Errors
     ///
-    /// Lists what is wrong.
+    /// Lists what is wrong, each with line, column and path.
     ///
     /// ```
     /// use steer::{Settings, SettingsPath};
     /// assert!(Settings::new(SettingsPath::Fleet, 1, "{").check().is_err());
     /// ```
     pub fn check(self) -> Result<Settings<Checked>, Vec<Problem>> {
-        let document = self.parse().map_err(|p| vec![p])?;
-        Ok(Settings {
-            path: self.path,
-            state: Checked(document),
-            text: self.text,
-            version: self.version,
-        })
-    }
-
-    fn parse(&self) -> Result<Document, Problem> {
-        let options = ParseOptions::default();
-        let place = || self.path.to_string();
-        match self.path {
-            SettingsPath::Fleet => jsonc_parser::parse_to_serde_value(&self.text, &options)
-                .map(|d| Document::Fleet(Arc::new(d)))
-                .map_err(|e| Problem::new(place(), e.to_string())),
-            SettingsPath::Team(_) => jsonc_parser::parse_to_serde_value(&self.text, &options)
-                .map(|d| Document::Team(Arc::new(d)))
-                .map_err(|e| Problem::new(place(), e.to_string())),
+        let (document, findings) = match self.path {
+            SettingsPath::Fleet => {
+                let fleet: FleetDocument = parse_jsonc(&self.text)?;
+                let findings = check_fleet(&fleet);
+                (Document::Fleet(Arc::new(fleet)), findings)
+            }
+            SettingsPath::Team(_) => {
+                let team: TeamDocument = parse_jsonc(&self.text)?;
+                let findings = check_team(&team);
+                (Document::Team(Arc::new(team)), findings)
+            }
+        };
+        if !findings.is_empty() {
+            return Err(findings.locate(&self.text));
         }
+        let Self { path, text, version, .. } = self;
+        Ok(Settings { path, state: Checked(document), text, version })
     }
 }
 
--- a/crates/steer/src/settings/settings_tree.rs
+++ b/crates/steer/src/settings/settings_tree.rs
@@ -1,11 +1,13 @@
 //! All documents in force.
 
-use super::{Checked, Document, InForce, Problem, Settings, SettingsPath, Snapshot};
-use displaydoc::Display;
-use std::{
-    collections::{BTreeMap, btree_map::Entry},
-    sync::Arc,
+use super::{
+    Checked, Document, Findings, FleetDocument, InForce, Problem, Settings, SettingsPath, Snapshot,
+    TeamDocument,
+    bounds::{Bounds, Taken},
 };
+use crate::TeamName;
+use displaydoc::Display;
+use std::{collections::BTreeMap, sync::Arc};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Why a checked document was not put in force.
@@ -18,8 +20,10 @@
         /// Version that was offered.
         offered: u64,
     },
-    /// refused by the settings above it: {0:?}
+    /// the document reaches past the bounds that the fleet's settings give its team
     OutOfBounds(Vec<Problem>),
+    /// the document waits for the fleet's settings
+    Waiting,
 }
 
 impl std::error::Error for PutError {}
@@ -39,6 +43,15 @@
 pub struct SettingsTree {
     documents: BTreeMap<SettingsPath, Settings<InForce>>,
     refused: BTreeMap<SettingsPath, (u64, Vec<Problem>)>,
+    waiting: BTreeMap<SettingsPath, Settings<Checked>>,
+}
+
+/// A team's document in force with the part of it that lies within the team's bounds.
+struct Limited<'a> {
+    findings: Findings,
+    part: TeamDocument,
+    settings: &'a Settings<InForce>,
+    team: &'a TeamName,
 }
 
 impl SettingsTree {
@@ -47,30 +60,119 @@
         Self::default()
     }
 
-    /// Puts a document in force over a lower version of itself.
+    /// Puts a document in force over a lower version of itself. A team's document that comes
+    /// before the fleet's, or out of bounds, is kept and tried again when others change.
     ///
     /// # Errors
     ///
-    /// `Stale` where the version in force is as high or higher.
+    /// `Stale` where the version in force is as high or higher, `OutOfBounds` or `Waiting` where
+    /// what was in force stays so.
     pub fn put_in_force(&mut self, settings: Settings<Checked>) -> Result<(), PutError> {
         let offered = settings.version();
-        match self.documents.entry(settings.path().clone()) {
-            Entry::Occupied(held) if held.get().version() >= offered => {
-                return Err(PutError::Stale { held: held.get().version(), offered });
-            }
-            Entry::Occupied(mut held) => {
-                held.insert(settings.into_force());
-            }
-            Entry::Vacant(place) => {
-                place.insert(settings.into_force());
+        if let Some(held) = self.version(settings.path()).filter(|held| *held >= offered) {
+            return Err(PutError::Stale { held, offered });
+        }
+        if let Err(error) = self.check_bounds(&settings) {
+            if let PutError::OutOfBounds(problems) = &error {
+                self.note_refused(settings.path().clone(), offered, problems.clone());
             }
+            self.keep_waiting(settings);
+            return Err(error);
         }
+        self.documents.insert(settings.path().clone(), settings.into_force());
+        self.retry_waiting();
         Ok(())
     }
 
-    /// Notes that a version of a document was refused; what was in force stays so.
+    fn check_bounds(&self, settings: &Settings<Checked>) -> Result<(), PutError> {
+        let (SettingsPath::Team(team), Document::Team(document)) =
+            (settings.path(), settings.document())
+        else {
+            return Ok(());
+        };
+        let Some(fleet) = self.fleet() else { return Err(PutError::Waiting) };
+        let mut taken = Taken::default();
+        for other in self.limited_teams(fleet).iter().filter(|other| other.team != team) {
+            taken.add(other.team, &other.part);
+        }
+        let mut findings = Findings::default();
+        Bounds::new(fleet, team).limit(document, &taken, &mut findings);
+        if findings.is_empty() {
+            return Ok(());
+        }
+        Err(PutError::OutOfBounds(findings.locate(settings.text())))
+    }
+
+    fn keep_waiting(&mut self, settings: Settings<Checked>) {
+        let held = self.waiting.get(settings.path()).map(Settings::version);
+        if held.is_none_or(|held| held < settings.version()) {
+            self.waiting.insert(settings.path().clone(), settings);
+        }
+    }
+
+    /// Tries the waiting documents again, in the order in which they were written.
+    fn retry_waiting(&mut self) {
+        let mut waiting: Vec<_> = std::mem::take(&mut self.waiting).into_values().collect();
+        waiting.sort_by_key(Settings::version);
+        for settings in waiting {
+            // A refusal is noted and keeps the document waiting; nothing is left to tell.
+            let _ = self.put_in_force(settings);
+        }
+    }
+
+    fn fleet(&self) -> Option<&Arc<FleetDocument>> {
+        match self.documents.get(&SettingsPath::Fleet)?.document() {
+            Document::Fleet(fleet) => Some(fleet),
+            Document::Team(_) => None,
+        }
+    }
+
+    /// The teams' documents, each limited to its bounds. Where two teams hold the same host or
+    /// target, the document that was written first keeps it.
+    fn limited_teams(&self, fleet: &FleetDocument) -> Vec<Limited<'_>> {
+        let mut documents: Vec<&Settings<InForce>> = self.documents.values().collect();
+        documents.sort_by_key(|settings| settings.version());
+        let mut taken = Taken::default();
+        let mut teams = Vec::new();
+        for settings in documents {
+            let (SettingsPath::Team(team), Document::Team(document)) =
+                (settings.path(), settings.document())
+            else {
+                continue;
+            };
+            let mut findings = Findings::default();
+            let part = Bounds::new(fleet, team).limit(document, &taken, &mut findings);
+            taken.add(team, &part);
+            teams.push(Limited { findings, part, settings, team });
+        }
+        teams
+    }
+
+    /// Documents in force of which a part is left out, because the fleet's settings no longer
+    /// allow it.
+    pub fn limited(&self) -> Vec<(SettingsPath, u64, Vec<Problem>)> {
+        let Some(fleet) = self.fleet() else { return Vec::new() };
+        self.limited_teams(fleet)
+            .into_iter()
+            .filter(|team| !team.findings.is_empty())
+            .map(|Limited { findings, settings, .. }| {
+                let problems = findings.locate(settings.text());
+                (settings.path().clone(), settings.version(), problems)
+            })
+            .collect()
+    }
+
+    /// Documents that wait for the fleet's settings, or for a change that lets them in.
+    pub fn waiting(&self) -> impl Iterator<Item = (&SettingsPath, u64)> {
+        self.waiting.iter().map(|(path, s)| (path, s.version()))
+    }
+
+    /// Notes that a version of a document was refused, the newest one of each path; what was in
+    /// force stays so.
     pub fn note_refused(&mut self, path: SettingsPath, version: u64, problems: Vec<Problem>) {
-        self.refused.insert(path, (version, problems));
+        if self.refused.get(&path).is_none_or(|(noted, _)| *noted <= version) {
+            self.refused.insert(path, (version, problems));
+        }
     }
 
     /// Refused versions that are newer than what is in force.
@@ -106,19 +208,12 @@
         hash.digest()
     }
 
-    /// Joins all documents into what decisions read.
+    /// Joins all documents, each within its bounds, into what decisions read.
     pub fn to_snapshot(&self) -> Snapshot {
-        let fleet = self.documents.get(&SettingsPath::Fleet).map(Settings::<InForce>::document);
-        let Some(Document::Fleet(fleet)) = fleet else {
-            return Snapshot::default();
-        };
+        let Some(fleet) = self.fleet() else { return Snapshot::default() };
         let mut snapshot = Snapshot::new(Arc::clone(fleet), self.digest());
-        for settings in self.documents.values() {
-            if let (SettingsPath::Team(team), Document::Team(document)) =
-                (settings.path(), settings.document())
-            {
-                snapshot.add_team(team, document);
-            }
+        for limited in self.limited_teams(fleet) {
+            snapshot.add_team(limited.team, &limited.part);
         }
         snapshot
     }
--- /dev/null
+++ b/crates/steer/src/settings/source.rs
@@ -0,0 +1,199 @@
+//! Reads JSON with comments, and finds lines and columns in it.
+
+use super::{
+    Place, Position, Problem, Step,
+    findings::{Findings, suggest},
+};
+use jsonc_parser::{ParseOptions, ast::Value, common::Ranged, parse_to_ast};
+use serde::de::DeserializeOwned;
+
+/// JSON with comments and trailing commas, and nothing looser.
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_bare_decimal_point_numbers: false,
+        allow_comments: true,
+        allow_extended_string_escapes: false,
+        allow_hexadecimal_numbers: false,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_non_finite_numbers: false,
+        allow_single_quoted_strings: false,
+        allow_trailing_commas: true,
+        allow_unary_plus_numbers: false,
+    }
+}
+
+fn parse_value(text: &str) -> Result<Value<'_>, Problem> {
+    let parsed = parse_to_ast(text, &Default::default(), &options()).map_err(|error| {
+        let at = Position::of_byte(text, error.range().start);
+        Problem::new(Place::root().to_string(), lower_first(&error.kind().to_string())).at(at)
+    })?;
+    let refuse = |found: &str| {
+        let reason = format!("{found}; expected an object");
+        Problem::new(Place::root().to_string(), reason)
+    };
+    match parsed.value {
+        None => Err(refuse("is empty")),
+        Some(Value::Object(object)) => Ok(Value::Object(object)),
+        Some(other) => {
+            let at = Position::of_byte(text, other.range().start);
+            Err(refuse(&format!("is `{}`", other.text(text))).at(at))
+        }
+    }
+}
+
+/// Reads a document of JSON with comments into a type.
+///
+/// # Errors
+///
+/// Names line, column and path of what is wrong, what was found and what is allowed.
+///
+/// ```
+/// let problems = steer::parse_jsonc::<steer::TeamDocument>(r#"{ "servces": {} }"#).unwrap_err();
+/// assert_eq!(
+///     problems[0].to_string(),
+///     "1:3: servces: unknown key `servces`; did you mean `services`?"
+/// );
+/// ```
+pub fn parse_jsonc<T: DeserializeOwned>(text: &str) -> Result<T, Vec<Problem>> {
+    let value = parse_value(text).map_err(|p| vec![p])?;
+    let mut findings = Findings::default();
+    find_doubles(&value, &Place::root(), &mut findings);
+    if !findings.is_empty() {
+        return Err(findings.locate(text));
+    }
+    let value = serde_json::Value::from(value);
+    serde_path_to_error::deserialize(&value).map_err(|error| {
+        let place = Place::from(error.path());
+        let found = find_value(&value, &place);
+        findings.add(&place, explain_mismatch(&error.inner().to_string(), &found));
+        std::mem::take(&mut findings).locate(text)
+    })
+}
+
+/// Finds keys that stand twice in one object.
+fn find_doubles(value: &Value<'_>, place: &Place, findings: &mut Findings) {
+    match value {
+        Value::Array(list) => {
+            for (i, element) in list.elements.iter().enumerate() {
+                find_doubles(element, &place.index(i), findings);
+            }
+        }
+        Value::Object(object) => {
+            let mut seen = std::collections::BTreeSet::new();
+            for property in &object.properties {
+                let name = property.name.as_str();
+                let here = place.key(name);
+                if !seen.insert(name) {
+                    findings.add(&here, format!("the key `{name}` stands twice in one object"));
+                }
+                find_doubles(&property.value, &here, findings);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// The text of the value at a place: that of the key for an unknown or malformed key.
+fn find_value(root: &serde_json::Value, place: &Place) -> String {
+    let mut value = root;
+    for step in place.steps() {
+        let inside = match step {
+            Step::Index(index) => value.get(index),
+            Step::Item(text) | Step::Key(text) => value.get(text),
+        };
+        let Some(next) = inside else { break };
+        value = next;
+    }
+    match (value, place.steps()) {
+        // The keys of `blocks` have a syntax of their own.
+        (_, [Step::Key(parent), Step::Key(key)]) if parent == "blocks" => key.clone(),
+        (serde_json::Value::String(text), _) => text.clone(),
+        (other, _) => other.to_string(),
+    }
+}
+
+/// What a value of a type must look like, by a part of the parser's message.
+const EXPECTED: [(&str, &str); 3] = [
+    ("invalid IP address syntax", "a block in CIDR notation, such as `10.1.0.0/16`"),
+    ("invalid socket address syntax", "an IP number with a port, such as `127.0.0.1:9000`"),
+    ("failed to parse", "an RFC 3339 time, such as `2026-01-31T09:00:00Z`"),
+];
+
+/// Names of types in the parser's messages, and what they stand for.
+const TYPES: [(&str, &str); 6] = [
+    ("f64", "a number"),
+    ("i64", "a whole number"),
+    ("struct", "an object"),
+    ("u32", "a whole number from 0 to 4294967295"),
+    ("u64", "a whole number from 0 on"),
+    ("usize", "a whole number from 0 on"),
+];
+
+/// Rewrites a message of the parser, with the nearest known key for an unknown one.
+fn explain_mismatch(message: &str, found: &str) -> String {
+    if let Some((_, expected)) = EXPECTED.iter().find(|(part, _)| message.contains(part)) {
+        return format!("`{found}` is not {expected}");
+    }
+    let quoted: Vec<String> = message.split('`').skip(1).step_by(2).map(str::to_owned).collect();
+    for (start, what) in [("unknown field", "key"), ("unknown variant", "value")] {
+        if let (true, Some((name, known))) = (message.starts_with(start), quoted.split_first()) {
+            return format!("unknown {what} `{name}`; {}", suggest(name, known));
+        }
+    }
+    if let (true, Some(name)) = (message.starts_with("missing field"), quoted.first()) {
+        return format!("the key `{name}` is missing");
+    }
+    let Some((start, expected)) = message.split_once(", expected ") else {
+        return message.to_owned();
+    };
+    let name = expected.split(' ').next().unwrap_or_default();
+    let expected = TYPES.iter().find(|(t, _)| *t == name).map_or(expected, |(_, text)| text);
+    format!("{start}; expected {expected}")
+}
+
+fn lower_first(text: &str) -> String {
+    let mut chars = text.chars();
+    chars.next().map_or_else(String::new, |c| c.to_lowercase().chain(chars).collect())
+}
+
+/// Line and column of each place; a member's is that of its key. A place that isn't there gets
+/// the position of the nearest value around it.
+pub(super) fn positions(text: &str, places: &[&Place]) -> Vec<Position> {
+    let Ok(root) = parse_value(text) else { return vec![Position::default(); places.len()] };
+    places.iter().map(|place| Position::of_byte(text, find_byte(&root, place))).collect()
+}
+
+/// Whether a value is a text, or an object with a member that is this text.
+fn holds_text(value: &Value<'_>, text: &str) -> bool {
+    match value {
+        Value::Object(object) => object.properties.iter().any(|p| holds_text(&p.value, text)),
+        Value::StringLit(literal) => literal.value == text,
+        _ => false,
+    }
+}
+
+fn find_byte(root: &Value<'_>, place: &Place) -> usize {
+    let mut byte = root.range().start;
+    let mut value = root;
+    for step in place.steps() {
+        let inside = match (step, value) {
+            (Step::Index(index), Value::Array(list)) => {
+                list.elements.get(*index).map(|element| (element.range().start, element))
+            }
+            (Step::Item(text), Value::Array(list)) => {
+                let found = list.elements.iter().find(|element| holds_text(element, text));
+                found.map(|element| (element.range().start, element))
+            }
+            (Step::Key(key), Value::Object(object)) => {
+                // The last one, because an earlier double of the key is the one that is valid.
+                let found = object.properties.iter().rev().find(|p| p.name.as_str() == key);
+                found.map(|property| (property.range.start, &property.value))
+            }
+            _ => None,
+        };
+        let Some(next) = inside else { return byte };
+        (byte, value) = next;
+    }
+    byte
+}
