Tell peers only what changed, through delegates

Cause: each VM sent its whole heartbeat to all others, and read the whole list and all settings from the platform itself. Change: zone mates beat in a mesh, delegates carry news between zones and regions, suspicions can be refuted, delegates watch the platform, settings go as offers and single fetches, and calls to the platform pass a circuit.

--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -1,6 +1,9 @@
 //! The port towards other entry VMs.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::{
+    wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
+    wire_exchange::WireExchange,
+};
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response};
@@ -10,8 +13,9 @@
         client::{Client, ClientBuilder, ClientT, Error},
         traits::ToRpcParams,
     },
-    rpc_params,
 };
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use std::{
     collections::BTreeMap,
     fmt::{self, Debug, Formatter},
@@ -19,8 +23,13 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use steer::{Body, Heartbeat, PeerError, PeerMessage, PeerReply, Peers, SendError, SettingsBatch};
+use steer::{
+    Body, ControlPart, ControlUsage, Exchange, Heartbeat, PeerError, PeerMessage, PeerReply, Peers,
+    SendError, SettingsBatch,
+};
 
+/// Bytes of a message around its parameters or result: JSON-RPC's envelope and the frame's head.
+pub(super) const FRAME_BYTES: usize = 56;
 /// Longest wait for a peer's reply.
 const REPLY_WAIT: Duration = Duration::from_secs(1);
 
@@ -30,6 +39,7 @@
 pub struct RpcPeers {
     clients: Mutex<Clients>,
     pool: Arc<ConnectionPool>,
+    usage: Arc<ControlUsage>,
 }
 
 impl RpcPeers {
@@ -40,7 +50,7 @@
     /// assert!(format!("{peers:?}").contains("clients: 0"));
     /// ```
     pub fn new(pool: Arc<ConnectionPool>) -> Self {
-        Self { clients: Mutex::default(), pool }
+        Self { clients: Mutex::default(), pool, usage: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Clients> {
@@ -66,20 +76,44 @@
         Ok(client)
     }
 
-    async fn request<R: serde::de::DeserializeOwned>(
+    /// Sends one message, and counts the bytes of it and of its reply.
+    async fn request<R: DeserializeOwned>(
         &self,
         peer: SocketAddr,
-        method: &str,
-        params: impl ToRpcParams + Send,
+        (method, part): (&str, ControlPart),
+        message: &impl Serialize,
     ) -> Result<R, PeerError> {
         let client = self.client(peer).await?;
-        let reply = client.request(method, params).await;
-        reply.map_err(|error| {
+        let invalid = |e: serde_json::Error| PeerError::Invalid(e.to_string());
+        let params = Params(serde_json::value::to_raw_value(&[message]).map_err(invalid)?);
+        let sent = params.0.get().len() + FRAME_BYTES + method.len();
+        let reply: Result<Box<RawValue>, Error> = client.request(method, params).await;
+        let received = reply.as_ref().map_or(0, |reply| reply.get().len() + FRAME_BYTES);
+        self.usage.note(part, sent, received);
+        let reply = reply.map_err(|error| {
             if !matches!(error, Error::Call(_)) {
-                self.lock().remove(&peer);
+                self.forget(peer, &client);
             }
             to_peer_error(error)
-        })
+        })?;
+        serde_json::from_str(reply.get()).map_err(invalid)
+    }
+
+    /// Drops a connection that failed, unless another took its place.
+    fn forget(&self, peer: SocketAddr, client: &Arc<Client>) {
+        let mut clients = self.lock();
+        if clients.get(&peer).is_some_and(|held| Arc::ptr_eq(held, client)) {
+            clients.remove(&peer);
+        }
+    }
+}
+
+/// Parameters that are encoded already.
+struct Params(Box<RawValue>);
+
+impl ToRpcParams for Params {
+    fn to_rpc_params(self) -> Result<Option<Box<RawValue>>, serde_json::Error> {
+        Ok(Some(self.0))
     }
 }
 
@@ -95,20 +129,32 @@
 impl Peers for RpcPeers {
     async fn call(&self, peer: SocketAddr, message: PeerMessage) -> Result<PeerReply, PeerError> {
         match message {
+            PeerMessage::Exchange(exchange) => {
+                let method = (EXCHANGE, ControlPart::Heartbeats);
+                let wire: WireExchange =
+                    self.request(peer, method, &WireExchange::from(&exchange)).await?;
+                let reply = Exchange::try_from(wire).map_err(PeerError::Invalid)?;
+                Ok(PeerReply::Exchange(reply))
+            }
             PeerMessage::Heartbeat(beat) => {
-                let params = rpc_params![WireHeartbeat::from(&beat)];
-                let wire: WireHeartbeat = self.request(peer, HEARTBEAT, params).await?;
+                let method = (HEARTBEAT, ControlPart::Heartbeats);
+                let wire: WireHeartbeat =
+                    self.request(peer, method, &WireHeartbeat::from(&beat)).await?;
                 Ok(PeerReply::Heartbeat(Heartbeat::from(wire)))
             }
             PeerMessage::Settings(query) => {
-                let params = rpc_params![WireQuery::from(&query)];
-                let wire: WireBatch = self.request(peer, SETTINGS, params).await?;
+                let method = (SETTINGS, ControlPart::Settings);
+                let wire: WireBatch = self.request(peer, method, &WireQuery::from(&query)).await?;
                 let batch = SettingsBatch::try_from(wire).map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Settings(batch))
             }
         }
     }
 
+    fn usage(&self) -> Arc<ControlUsage> {
+        Arc::clone(&self.usage)
+    }
+
     async fn hand_off(
         &self,
         peer: SocketAddr,
--- a/crates/adapters/src/peers/rpc_server.rs
+++ b/crates/adapters/src/peers/rpc_server.rs
@@ -1,13 +1,18 @@
 //! Answers peers' messages.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::{
+    rpc_peers::FRAME_BYTES,
+    wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
+    wire_exchange::WireExchange,
+};
 use jsonrpsee::{
     RpcModule,
     server::{Server, ServerConfig, ServerHandle},
     types::{ErrorObjectOwned, Params},
 };
+use serde::Serialize;
 use std::{io, net::SocketAddr, sync::Arc};
-use steer::{EntryNode, PeerMessage, PeerReply, SettingsQuery};
+use steer::{ControlPart, EntryNode, Exchange, PeerMessage, PeerReply, SettingsQuery};
 
 /// JSON-RPC error code of a message that is refused.
 const REFUSED: i32 = -32001;
@@ -31,6 +36,9 @@
 
 fn to_module(node: Arc<EntryNode>) -> RpcModule<Arc<EntryNode>> {
     let mut module = RpcModule::new(node);
+    module
+        .register_method(EXCHANGE, |params, node, _| answer_exchange(&params, node))
+        .expect("each method is registered once");
     module
         .register_method(HEARTBEAT, |params, node, _| answer_heartbeat(&params, node))
         .expect("each method is registered once");
@@ -40,14 +48,36 @@
     module
 }
 
+fn answer_exchange(
+    params: &Params<'_>,
+    node: &EntryNode,
+) -> Result<WireExchange, ErrorObjectOwned> {
+    let wire: WireExchange = params.one()?;
+    let exchange = Exchange::try_from(wire).map_err(|e| refuse(&e))?;
+    match node.answer_peer(PeerMessage::Exchange(exchange)) {
+        Ok(PeerReply::Exchange(own)) => {
+            let reply = WireExchange::from(&own);
+            note(node, ControlPart::Heartbeats, params, &reply);
+            Ok(reply)
+        }
+        Ok(other) => Err(refuse(&format!("no exchange: {other:?}"))),
+        Err(rejection) => Err(refuse(&rejection.to_string())),
+    }
+}
+
 fn answer_heartbeat(
     params: &Params<'_>,
     node: &EntryNode,
 ) -> Result<WireHeartbeat, ErrorObjectOwned> {
     let beat: WireHeartbeat = params.one()?;
     match node.answer_peer(PeerMessage::Heartbeat(beat.into())) {
-        Some(PeerReply::Heartbeat(own)) => Ok(WireHeartbeat::from(&own)),
-        _ => Err(refuse("unknown fleet or older incarnation")),
+        Ok(PeerReply::Heartbeat(own)) => {
+            let reply = WireHeartbeat::from(&own);
+            note(node, ControlPart::Heartbeats, params, &reply);
+            Ok(reply)
+        }
+        Ok(other) => Err(refuse(&format!("no heartbeat: {other:?}"))),
+        Err(rejection) => Err(refuse(&rejection.to_string())),
     }
 }
 
@@ -55,11 +85,23 @@
     let query: WireQuery = params.one()?;
     let query = SettingsQuery::try_from(query).map_err(|e| refuse(&e))?;
     match node.answer_peer(PeerMessage::Settings(query)) {
-        Some(PeerReply::Settings(batch)) => Ok(WireBatch::from(&batch)),
-        _ => Err(refuse("no settings")),
+        Ok(PeerReply::Settings(batch)) => {
+            let reply = WireBatch::from(&batch);
+            note(node, ControlPart::Settings, params, &reply);
+            Ok(reply)
+        }
+        Ok(other) => Err(refuse(&format!("no settings: {other:?}"))),
+        Err(rejection) => Err(refuse(&rejection.to_string())),
     }
 }
 
+/// Counts the bytes of a message and of its reply.
+fn note(node: &EntryNode, part: ControlPart, params: &Params<'_>, reply: &impl Serialize) {
+    let sent = serde_json::to_string(reply).map_or(0, |text| text.len());
+    let received = params.as_str().map_or(0, str::len);
+    node.control().note(part, sent + FRAME_BYTES, received + FRAME_BYTES);
+}
+
 fn refuse(reason: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(REFUSED, reason.to_owned(), None::<()>)
 }
--- /dev/null
+++ b/crates/adapters/src/peers/wire_exchange.rs
@@ -0,0 +1,85 @@
+//! Heartbeats between VMs that know each other, as they are encoded.
+
+use super::wire::{
+    WireEntryVm, WireError, WireRoom, WireState, from_wire_room, to_versions, to_wire_room,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use steer::{Cursor, Exchange, MemberNews, RoomNews};
+
+/// What changed; fields that say nothing are left out, because it is sent often.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireExchange {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    a: Option<u64>,
+    c: [u64; 3],
+    d: u64,
+    i: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    l: Option<BTreeSet<String>>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    m: Vec<(bool, u64, WireState, WireEntryVm)>,
+    n: String,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    o: BTreeMap<String, u64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    s: Vec<(String, u64, u64)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    u: Vec<(String, u64, WireRoom)>,
+}
+
+impl From<&Exchange> for WireExchange {
+    fn from(exchange: &Exchange) -> Self {
+        let members = exchange.members.iter();
+        let rooms = exchange.rooms.iter();
+        let suspects = exchange.suspects.iter();
+        let leaving = exchange.leaving.as_ref();
+        Self {
+            a: exchange.age.map(|age| age.as_secs()),
+            c: [exchange.base.0, exchange.seen.0, exchange.sent.0],
+            d: exchange.digest,
+            i: exchange.incarnation,
+            l: leaving.map(|names| names.iter().map(ToString::to_string).collect()),
+            m: members
+                .map(|m| (m.alive, m.refutation, m.state.into(), WireEntryVm::from(&m.vm)))
+                .collect(),
+            n: exchange.from.to_string(),
+            o: exchange.offers.iter().map(|(path, v)| (path.to_string(), *v)).collect(),
+            s: suspects.map(|(name, i, r)| (name.to_string(), *i, *r)).collect(),
+            u: rooms.map(|r| (r.name.to_string(), r.incarnation, to_wire_room(&r.room))).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireExchange> for Exchange {
+    type Error = WireError;
+
+    fn try_from(wire: WireExchange) -> Result<Self, WireError> {
+        let [base, seen, sent] = wire.c.map(Cursor);
+        let to_member = |(alive, refutation, state, vm): (_, _, WireState, WireEntryVm)| {
+            MemberNews { alive, refutation, state: state.into(), vm: vm.into() }
+        };
+        let to_room = |(name, incarnation, room): (String, _, _)| RoomNews {
+            incarnation,
+            name: name.into(),
+            room: from_wire_room(room),
+        };
+        Ok(Self {
+            age: wire.a.map(Duration::from_secs),
+            base,
+            digest: wire.d,
+            from: wire.n.into(),
+            incarnation: wire.i,
+            leaving: wire.l.map(|names| names.into_iter().map(Into::into).collect()),
+            members: wire.m.into_iter().map(to_member).collect(),
+            offers: to_versions(wire.o)?,
+            rooms: wire.u.into_iter().map(to_room).collect(),
+            seen,
+            sent,
+            suspects: wire.s.into_iter().map(|(name, i, r)| (name.into(), i, r)).collect(),
+        })
+    }
+}
--- a/crates/lab/src/linked_peers.rs
+++ b/crates/lab/src/linked_peers.rs
@@ -8,7 +8,7 @@
     net::{IpAddr, SocketAddr},
     sync::Arc,
 };
-use steer::{Body, PeerError, PeerMessage, PeerReply, Peers, SendError};
+use steer::{Body, ControlUsage, PeerError, PeerMessage, PeerReply, Peers, SendError};
 
 /// Environment variable with the number of the availability zone that an entry VM stands in.
 pub(crate) const ZONE_VARIABLE: &str = "LAB_ZONE";
@@ -41,6 +41,10 @@
         self.inner.call(self.translate(peer), message).await
     }
 
+    fn usage(&self) -> Arc<ControlUsage> {
+        self.inner.usage()
+    }
+
     async fn hand_off(
         &self,
         peer: SocketAddr,
--- a/crates/ragwortswitch/src/commands/run_entry_vm.rs
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -8,7 +8,8 @@
 use slog::{Level, info};
 use std::{error::Error, path::Path, str::FromStr, sync::Arc, time::SystemTime};
 use steer::{
-    EntryNode, EntryPorts, Meter, NoMeter, NoTracer, Peers, SystemClock, Tracer, Vm, run_entry,
+    EntryNode, EntryPorts, GuardedPlatform, Meter, NoMeter, NoTracer, Peers, SystemClock, Tracer,
+    Vm, run_entry,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -36,14 +37,15 @@
         Some(server) => Arc::new(StatsdMeter::new(server)?),
         None => Arc::new(NoMeter),
     };
+    let platform = HttpPlatform::new(settings.platform, settings.name.as_str(), Arc::clone(&pool));
     let ports = EntryPorts {
         clock: Arc::new(SystemClock),
-        meter,
+        meter: Arc::clone(&meter),
         peers: wrap(Arc::new(RpcPeers::new(Arc::clone(&pool)))),
-        platform: Arc::new(HttpPlatform::new(
-            settings.platform,
+        platform: Arc::new(GuardedPlatform::new(
+            Arc::new(platform),
+            Arc::clone(&meter),
             settings.name.as_str(),
-            Arc::clone(&pool),
         )),
         targets: Arc::new(HttpTargets::new(pool)),
         tracer: match &tracer {
@@ -55,6 +57,8 @@
     let entry = settings.entry_vm(u64::try_from(incarnation)?);
     let node = Arc::new(EntryNode::new(entry, ports, state, log.clone()));
 
+    node.set_seeds(settings.seeds.iter().copied());
+
     let limits = ListenerLimits::default();
     let callers = Listener::bind(settings.callers, limits).await?;
     let handoff = Listener::bind(settings.handoff, limits).await?;
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -22,6 +22,8 @@
     pub(crate) platform: SocketAddr,
     pub(crate) region: RegionName,
     #[serde(default)]
+    pub(crate) seeds: Vec<SocketAddr>,
+    #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     pub(crate) zone: AvailabilityZoneName,
 }
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -1,6 +1,7 @@
 //! The flows: one straight async function for each life.
 
 mod attempt;
+mod backoff;
 mod call;
 mod refusal;
 mod route_request;
@@ -13,6 +14,7 @@
 
 pub use self::{
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
+    backoff::Backoff,
     call::{Call, Origin},
     refusal::Refusal,
     run_entry::run_entry,
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -3,8 +3,16 @@
 use super::{watch_settings, watch_vms};
 use crate::{EntryNode, Joining, Stopped, Vm};
 use slog::info;
-use std::sync::Arc;
-use tokio::task::JoinSet;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Time that peers get to be met before this VM serves.
+const JOIN_GRACE: Duration = Duration::from_millis(500);
+/// Time between two looks at what peers have.
+const JOIN_STEP: Duration = Duration::from_millis(20);
 
 /// Runs an entry VM until `stop` ends: joins, serves, then drains until the last answer.
 pub async fn run_entry(
@@ -32,9 +40,15 @@
     vm
 }
 
-/// Waits until the fleet's settings are in force.
+/// Waits until the fleet's settings are in force, and no peer is known to have newer ones. Where
+/// peers are named but none was met yet, they get a little time.
 async fn wait_for_settings(node: &EntryNode) {
     let mut snapshot = node.watch_snapshot();
-    let found = snapshot.wait_for(|s| s.fleet().is_some()).await;
-    debug_assert!(found.is_ok(), "the node keeps the sender");
+    let found = snapshot.wait_for(|s| s.fleet().is_some()).await.is_ok();
+    debug_assert!(found, "the node keeps the sender");
+    let grace = Instant::now() + JOIN_GRACE;
+    let is_waiting = || node.peers().is_empty() && Instant::now() < grace;
+    while is_waiting() || !node.has_current_settings() {
+        sleep(JOIN_STEP).await;
+    }
 }
--- a/crates/steer/src/membership/membership_table.rs
+++ b/crates/steer/src/membership/membership_table.rs
@@ -1,52 +1,358 @@
 //! What this entry VM knows about its peers.
 
-use super::{EntryVm, VmState};
-use crate::{AvailabilityZoneName, Heartbeat, PoolKey, PoolRoom, VmName};
-use std::{collections::BTreeMap, time::Duration};
+use super::{
+    Candidate, EntryVm, PeerRecord, Rejection, TalkPlan, VmState,
+    delegates::{far_period, mate_period},
+    news_route::may_pass,
+    rejection::{check_room, check_vm},
+};
+use crate::{
+    AvailabilityZoneName, Cursor, Exchange, Heartbeat, MemberNews, PoolKey, PoolRoom, RoomNews,
+    VmName,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use tokio::time::Instant;
 
-/// What is known about one peer.
-#[derive(Clone, Debug)]
-pub struct PeerRecord {
-    /// Digest of the peer's settings.
-    pub digest: u64,
-    /// When its last heartbeat came.
-    pub heard: Instant,
-    /// Room of the pools that it owns.
-    pub room: BTreeMap<PoolKey, PoolRoom>,
-    /// State that it announced.
-    pub state: VmState,
-    /// Who it is.
-    pub vm: EntryVm,
+/// What this VM last said of itself, and when that changed.
+#[derive(Debug, Default)]
+struct OwnNews {
+    changed: u64,
+    room: BTreeMap<PoolKey, PoolRoom>,
+    room_changed: u64,
+    state: Option<VmState>,
+    told: u64,
 }
 
 /// The peers by name, each at its highest incarnation.
 #[derive(Debug, Default)]
 pub struct MembershipTable {
+    changes: u64,
+    own: OwnNews,
     peers: BTreeMap<VmName, PeerRecord>,
+    refutation: u64,
+    swept: Option<Instant>,
 }
 
 impl MembershipTable {
-    /// Time without a heartbeat after which a peer counts as gone.
-    pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
+    /// Wait beyond the time between heartbeats after which a silent peer is suspected.
+    pub const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+    /// Time in which a suspected peer can refute before it counts as gone.
+    pub const REFUTE_WITHIN: Duration = Duration::from_millis(500);
+    /// Time after which a peer that is gone is forgotten.
+    pub const FORGET_AFTER: Duration = Duration::from_secs(3600);
+    /// Most VMs that one message tells of.
+    pub const MAX_NEWS: usize = 200;
+    /// Gap between two sweeps after which this VM counts as having been paused.
+    pub const PAUSE: Duration = Duration::from_secs(1);
+
+    /// Takes an introduction of a peer that speaks for itself.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused; then nothing is taken.
+    pub fn hear(&mut self, own: &EntryVm, beat: Heartbeat, now: Instant) -> Result<(), Rejection> {
+        check_vm(&beat.vm, &own.fleet)?;
+        beat.room.values().try_for_each(check_room)?;
+        if beat.vm.name == own.name {
+            return Err(Rejection::OwnName);
+        }
+        let Heartbeat { digest, refutation, room, state, vm } = beat;
+        let name = vm.name.clone();
+        self.check_incarnation(&name, vm.incarnation)?;
+        self.put(MemberNews { alive: true, refutation, state, vm }, now);
+        let changes = self.next_change();
+        if let Some(record) = self.peers.get_mut(&name) {
+            record.set_direct(now, changes);
+            record.digest = digest;
+            record.set_room(room, changes, now, Duration::ZERO);
+        }
+        Ok(())
+    }
 
-    /// Takes a heartbeat; one from an older incarnation is refused.
-    pub fn hear(&mut self, beat: Heartbeat, now: Instant) -> bool {
-        if let Some(held) = self.peers.get(&beat.vm.name)
-            && held.vm.incarnation > beat.vm.incarnation
+    /// Takes what a known peer says has changed.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused; then nothing is taken.
+    pub fn take(
+        &mut self,
+        own: &EntryVm,
+        exchange: &Exchange,
+        now: Instant,
+    ) -> Result<(), Rejection> {
+        let known = self.peers.get(&exchange.from).ok_or(Rejection::UnknownSender)?;
+        let held = known.vm.incarnation;
+        if held > exchange.incarnation {
+            return Err(Rejection::OlderIncarnation { held });
+        }
+        if held < exchange.incarnation {
+            return Err(Rejection::UnknownSender);
+        }
+        exchange.members.iter().try_for_each(|news| check_vm(&news.vm, &own.fleet))?;
+        let rooms = exchange.rooms.iter().flat_map(|news| news.room.values());
+        rooms.into_iter().try_for_each(check_room)?;
+        if exchange.from == own.name {
+            return Err(Rejection::OwnName);
+        }
+        let sender = known.vm.clone();
+        self.note_direct(&sender.name, exchange.digest, now);
+        for news in exchange.members.iter().filter(|news| news.vm.name != own.name) {
+            self.take_member(own, news, &sender, now);
+        }
+        for news in &exchange.rooms {
+            self.take_room(own, news, now);
+        }
+        for (name, incarnation, refutation) in &exchange.suspects {
+            self.take_suspicion(own, &sender, (name, *incarnation, *refutation));
+        }
+        Ok(())
+    }
+
+    fn note_direct(&mut self, name: &VmName, digest: u64, now: Instant) {
+        let changes = self.next_change();
+        if let Some(record) = self.peers.get_mut(name) {
+            record.set_direct(now, changes);
+            record.digest = digest;
+        }
+    }
+
+    fn take_member(&mut self, own: &EntryVm, news: &MemberNews, sender: &EntryVm, now: Instant) {
+        if self.check_incarnation(&news.vm.name, news.vm.incarnation).is_err() {
+            return;
+        }
+        let changes = self.next_change();
+        if !news.alive {
+            let neighbour = sender.zone == news.vm.zone && own.zone != news.vm.zone;
+            if let Some(record) = self.peers.get_mut(&news.vm.name) {
+                record.lose_teller(&sender.name, news, neighbour, changes);
+            }
+            return;
+        }
+        let refuted = self.put(news.clone(), now);
+        let vouched = own.zone != news.vm.zone || refuted;
+        if let Some(record) = self.peers.get_mut(&news.vm.name)
+            && vouched
+            && news.vm.name != sender.name
         {
-            return false;
+            record.add_teller(&sender.name, changes);
         }
-        let Heartbeat { digest, room, state, vm } = beat;
-        self.peers.insert(vm.name.clone(), PeerRecord { digest, heard: now, room, state, vm });
-        true
     }
 
-    /// Peers that were heard of lately, sorted by name.
+    fn take_room(&mut self, own: &EntryVm, news: &RoomNews, now: Instant) {
+        let regions = self.regions();
+        let changes = self.next_change();
+        let Some(record) = self.peers.get_mut(&news.name) else { return };
+        if record.vm.incarnation != news.incarnation {
+            return;
+        }
+        let far = record.vm.region != own.region;
+        let pace = if far { far_period(regions) * PeerRecord::FAR_ROOMS } else { Duration::ZERO };
+        record.set_room(news.room.clone(), changes, now, pace);
+    }
+
+    /// A suspicion of this VM is refuted; one of a peer that this VM hears is passed on to it
+    /// and answered with what it says.
+    fn take_suspicion(&mut self, own: &EntryVm, by: &EntryVm, suspect: (&VmName, u64, u64)) {
+        let (name, incarnation, refutation) = suspect;
+        if *name == own.name {
+            if incarnation == own.incarnation && refutation >= self.refutation {
+                self.refutation = refutation + 1;
+                self.next_change();
+            }
+            return;
+        }
+        if let Some(record) = self.peers.get_mut(name) {
+            record.note_suspicion(&by.name, incarnation, refutation);
+        }
+    }
+
+    fn check_incarnation(&self, name: &VmName, offered: u64) -> Result<(), Rejection> {
+        match self.peers.get(name).map(|record| record.vm.incarnation) {
+            Some(held) if held > offered => Err(Rejection::OlderIncarnation { held }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Puts what is known of a VM in place; tells whether it refutes a suspicion.
+    fn put(&mut self, news: MemberNews, now: Instant) -> bool {
+        let changes = self.next_change();
+        self.end_others_at(&news.vm, changes);
+        match self.peers.get_mut(&news.vm.name) {
+            Some(held) if held.vm.incarnation == news.vm.incarnation => held.update(&news, changes),
+            _ => {
+                let record = PeerRecord::new(&news, changes, now);
+                self.peers.insert(news.vm.name.clone(), record);
+                false
+            }
+        }
+    }
+
+    /// Another VM at the same address is the one that this VM replaced.
+    fn end_others_at(&mut self, vm: &EntryVm, changes: u64) {
+        for record in self.peers.values_mut() {
+            let replaced = record.vm.name != vm.name
+                && record.vm.addresses.peers == vm.addresses.peers
+                && record.vm.incarnation < vm.incarnation;
+            if replaced && record.state != VmState::Stopped {
+                record.state = VmState::Stopped;
+                record.changed = changes;
+            }
+        }
+    }
+
+    fn regions(&self) -> usize {
+        let regions: BTreeSet<_> = self.peers.values().map(|p| &p.vm.region).collect();
+        regions.len()
+    }
+
+    /// Brings suspicions and losses up to date; tells whether this VM was paused, in which case
+    /// the silence of others is not held against them.
+    pub fn sweep(&mut self, own: &EntryVm, now: Instant) -> bool {
+        let gap = self.swept.map_or(Duration::ZERO, |then| now.duration_since(then));
+        self.swept = Some(now);
+        let paused = gap > Self::PAUSE;
+        if paused {
+            self.peers.values_mut().for_each(|record| record.forgive(gap));
+        }
+        let mates = self.peers.values().filter(|p| p.alive && p.vm.zone == own.zone).count();
+        let (near, far) = (mate_period(mates + 1), far_period(self.regions()));
+        for record in self.peers.values_mut() {
+            let period = if record.vm.region == own.region { near } else { far };
+            self.changes += 1;
+            record.judge_silence(period + Self::SUSPECT_AFTER, self.changes, now);
+        }
+        let direct: BTreeSet<VmName> =
+            self.peers.values().filter(|p| p.is_direct()).map(|p| p.vm.name.clone()).collect();
+        for record in self.peers.values_mut() {
+            self.changes += 1;
+            record.judge_tellers(&direct, self.changes, now);
+        }
+        self.peers.retain(|_, p| p.alive || now.duration_since(p.heard) < Self::FORGET_AFTER);
+        paused
+    }
+
+    /// Takes what this VM says of itself; gives the number of the change where there is one.
+    pub fn note_own(&mut self, state: VmState, room: &BTreeMap<PoolKey, PoolRoom>) {
+        if self.own.state != Some(state) || self.own.told != self.refutation {
+            self.own.changed = self.next_change();
+            self.own.state = Some(state);
+            self.own.told = self.refutation;
+        }
+        if self.own.room != *room {
+            self.own.room_changed = self.next_change();
+            self.own.room.clone_from(room);
+        }
+    }
+
+    /// How often this VM refuted a suspicion.
+    pub fn refutation(&self) -> u64 {
+        self.refutation
+    }
+
+    /// The number of the last change.
+    pub fn cursor(&self) -> Cursor {
+        Cursor(self.changes)
+    }
+
+    /// Counts a change that is kept elsewhere.
+    pub fn next_change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    /// What a peer may be told of what changed after a cursor, and the cursor that this
+    /// reaches.
+    pub fn news_for(
+        &self,
+        own: &EntryVm,
+        to: &EntryVm,
+        after: Cursor,
+    ) -> (Vec<MemberNews>, Vec<RoomNews>, Cursor) {
+        let mut changed: Vec<_> = self.peers.values().filter(|r| r.changed > after.0).collect();
+        changed.sort_by_key(|r| r.changed);
+        let mut members: Vec<MemberNews> = Vec::new();
+        let mut reached = self.cursor();
+        for record in changed {
+            if members.len() == Self::MAX_NEWS {
+                reached = Cursor(record.changed - 1);
+                break;
+            }
+            members.extend(self.member_news(own, record, to));
+        }
+        if self.own.changed > after.0
+            && let Some(state) = self.own.state
+        {
+            let (refutation, vm) = (self.refutation, own.clone());
+            members.push(MemberNews { alive: true, refutation, state, vm });
+        }
+        let due = |changed: u64| changed > after.0 && changed <= reached.0;
+        let rooms = self.peers.values().filter(|r| r.alive && due(r.room_changed));
+        let rooms = rooms.filter(|r| r.vm.zone != to.zone && self.is_passed(own, r, to));
+        let mut rooms: Vec<RoomNews> = rooms.map(PeerRecord::room_news).collect();
+        if due(self.own.room_changed) {
+            let (incarnation, name) = (own.incarnation, own.name.clone());
+            rooms.push(RoomNews { incarnation, name, room: self.own.room.clone() });
+        }
+        (members, rooms, reached)
+    }
+
+    fn is_passed(&self, own: &EntryVm, record: &PeerRecord, to: &EntryVm) -> bool {
+        let mut sources = record.sources().filter_map(|name| self.peers.get(name));
+        sources.any(|teller| may_pass(own, &record.vm, &teller.vm, to))
+    }
+
+    /// What a peer is told of another: that it lives where a source says so that may be passed
+    /// on, that it is gone where there was one.
+    fn member_news(&self, own: &EntryVm, record: &PeerRecord, to: &EntryVm) -> Option<MemberNews> {
+        if record.vm.name == to.name {
+            return None;
+        }
+        if record.is_vouched_to(&to.name) || self.is_passed(own, record, to) {
+            let alive = record.is_direct() || record.vm.zone != own.zone;
+            return Some(record.news(alive));
+        }
+        let mut past = record.past_sources().filter_map(|name| self.peers.get(name));
+        past.any(|teller| may_pass(own, &record.vm, &teller.vm, to)).then(|| record.news(false))
+    }
+
+    /// The peers of this VM's zone that it suspects, and a peer that others suspect.
+    pub fn suspects_for(&self, own: &EntryVm, to: &EntryVm) -> Vec<(VmName, u64, u64)> {
+        if own.zone != to.zone {
+            return Vec::new();
+        }
+        let peers = self.peers.values().filter(|p| p.vm.zone == own.zone);
+        let told = peers.filter(|p| p.suspected || (p.vm.name == to.name && p.is_accused()));
+        told.map(|p| (p.vm.name.clone(), p.vm.incarnation, p.refutation)).collect()
+    }
+
+    /// Plans whom this VM talks to.
+    pub fn plan(&self, own: &EntryVm) -> TalkPlan {
+        let known = self.peers.values().filter(|p| p.state != VmState::Stopped);
+        let candidates: Vec<_> = known
+            .map(|p| Candidate { serving: p.alive && p.state.accepts_work(), vm: &p.vm })
+            .collect();
+        TalkPlan::new(own, &candidates)
+    }
+
+    /// A peer by the address at which it takes messages.
+    pub fn at(&self, address: std::net::SocketAddr) -> Option<&PeerRecord> {
+        let at = self.peers.values().filter(|p| p.vm.addresses.peers == address);
+        at.max_by_key(|p| p.vm.incarnation)
+    }
+
+    /// A peer by name, gone or not.
+    pub fn find(&self, name: &VmName) -> Option<&PeerRecord> {
+        self.peers.get(name)
+    }
+
+    /// Peers that are not gone, sorted by name.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &PeerRecord> {
-        self.peers.values().filter(move |p| {
-            p.state != VmState::Stopped && now.duration_since(p.heard) < Self::SUSPECT_AFTER
-        })
+        let paused = self.swept.is_some_and(|then| now.duration_since(then) > Self::PAUSE);
+        let live = move |p: &&PeerRecord| p.alive && (paused || p.is_fresh(now));
+        self.peers.values().filter(move |p| p.state != VmState::Stopped && live(p))
     }
 
     /// Live peers that take new work.
--- a/crates/steer/src/membership/vm_state.rs
+++ b/crates/steer/src/membership/vm_state.rs
@@ -33,4 +33,19 @@
     pub fn accepts_work(self) -> bool {
         self == Self::Serving
     }
+
+    /// Place in the order of the life cycle, which goes one way only.
+    ///
+    /// ```
+    /// use steer::VmState;
+    /// assert!(VmState::Joining.rank() < VmState::Serving.rank());
+    /// ```
+    pub fn rank(self) -> u8 {
+        match self {
+            Self::Draining => 2,
+            Self::Joining => 0,
+            Self::Serving => 1,
+            Self::Stopped => 3,
+        }
+    }
 }
--- a/crates/steer/src/names/name.rs
+++ b/crates/steer/src/names/name.rs
@@ -62,6 +62,12 @@
     }
 }
 
+impl<K> Default for Name<K> {
+    fn default() -> Self {
+        Self::from("")
+    }
+}
+
 impl<K> Display for Name<K> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.pad(&self.text)
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -4,8 +4,8 @@
 use crate::{
     AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
     LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
-    PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
-    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+    PutError, RegionName, Rejection, Settings, SettingsDocument, SettingsQuery, SettingsTree,
+    Snapshot, TalkState, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -35,6 +35,7 @@
     ports: EntryPorts,
     snapshot: watch::Sender<Arc<Snapshot>>,
     state: watch::Receiver<VmState>,
+    talk: TalkState,
     tree: Mutex<SettingsTree>,
     vm: EntryVm,
     work: TaskTracker,
@@ -64,6 +65,7 @@
             ports,
             snapshot: watch::Sender::new(Arc::default()),
             state,
+            talk: TalkState::default(),
             tree: Mutex::default(),
             vm,
             work: TaskTracker::new(),
@@ -80,6 +82,18 @@
         &self.ports
     }
 
+    pub(crate) fn members(&self) -> MutexGuard<'_, MembershipTable> {
+        lock(&self.members)
+    }
+
+    pub(crate) fn state_receiver(&self) -> &watch::Receiver<VmState> {
+        &self.state
+    }
+
+    pub(crate) fn talk(&self) -> &TalkState {
+        &self.talk
+    }
+
     /// Who this VM is.
     pub fn vm(&self) -> &EntryVm {
         &self.vm
@@ -130,6 +144,7 @@
         drop(tree);
         info!(self.log, "settings: in force"; "path" => %path, "version" => version);
         self.rebuild(snapshot);
+        self.note_settings_change(path);
         true
     }
 
@@ -191,49 +206,46 @@
     /// This VM's heartbeat.
     pub fn heartbeat(&self) -> Heartbeat {
         let room = lock(&self.pools).iter().map(|(k, p)| (k.clone(), p.room())).collect();
-        Heartbeat {
-            digest: lock(&self.tree).digest(),
-            room,
-            state: self.state(),
-            vm: self.vm.clone(),
-        }
+        let digest = lock(&self.tree).digest();
+        let refutation = self.members().refutation();
+        Heartbeat { digest, refutation, room, state: self.state(), vm: self.vm.clone() }
     }
 
-    /// Takes a peer's heartbeat; one of another fleet or an older incarnation is refused.
+    /// Takes a peer's introduction; one of another fleet or an older incarnation is refused.
     pub fn hear(&self, beat: Heartbeat) -> bool {
-        beat.vm.fleet == self.vm.fleet && lock(&self.members).hear(beat, Instant::now())
+        self.meet(beat).is_ok()
     }
 
-    /// Answers a peer's message; `None` where it is refused.
-    pub fn answer_peer(&self, message: PeerMessage) -> Option<PeerReply> {
+    /// Answers a peer's message.
+    ///
+    /// # Errors
+    ///
+    /// Why the message is refused.
+    pub fn answer_peer(&self, message: PeerMessage) -> Result<PeerReply, Rejection> {
         match message {
+            PeerMessage::Exchange(exchange) => {
+                let from = exchange.from.clone();
+                self.take_exchange(exchange)?;
+                let to = self.members().find(&from).map(|record| record.vm.clone());
+                let to = to.ok_or(Rejection::UnknownSender)?;
+                if self.talk.lock().offers.contains_key(&from) {
+                    self.wake_of(to.addresses.peers).notify_one();
+                }
+                Ok(PeerReply::Exchange(self.exchange_for(&to)))
+            }
             PeerMessage::Heartbeat(beat) => {
-                self.hear(beat).then(|| PeerReply::Heartbeat(self.heartbeat()))
+                self.meet(beat)?;
+                Ok(PeerReply::Heartbeat(self.heartbeat()))
             }
-            PeerMessage::Settings(query) => Some(PeerReply::Settings(self.newer_settings(&query))),
+            PeerMessage::Settings(query) => Ok(PeerReply::Settings(self.newer_settings(&query))),
         }
     }
 
     /// What this VM asks a peer for when their settings differ.
     pub fn settings_query(&self) -> SettingsQuery {
         let tree = lock(&self.tree);
-        SettingsQuery { versions: tree.versions().map(|(path, v)| (path.clone(), v)).collect() }
-    }
-
-    fn newer_settings(&self, query: &SettingsQuery) -> SettingsBatch {
-        let tree = lock(&self.tree);
-        let held = |path: &SettingsPath| query.versions.get(path).copied().unwrap_or_default();
-        let documents = tree
-            .versions()
-            .filter(|(path, version)| held(path) < *version)
-            .filter_map(|(path, _)| tree.document(path))
-            .map(|settings| SettingsDocument {
-                path: settings.path().clone(),
-                text: Arc::clone(settings.text()),
-                version: settings.version(),
-            })
-            .collect();
-        SettingsBatch { documents }
+        let versions = tree.versions().map(|(path, v)| (path.clone(), v)).collect();
+        SettingsQuery { named: false, versions }
     }
 
     /// Live peers, sorted by name.
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod clock;
+mod guarded_platform;
 mod meter;
 mod peers;
 mod platform;
@@ -13,10 +14,11 @@
 pub use self::{
     body::{Body, BodyError, empty_body, full_body, hold_until_end},
     clock::{Clock, SystemClock},
+    guarded_platform::GuardedPlatform,
     meter::{Meter, NoMeter},
     peers::{
-        Heartbeat, PeerError, PeerMessage, PeerReply, Peers, PoolRoom, SettingsBatch,
-        SettingsDocument, SettingsQuery,
+        Cursor, Exchange, Heartbeat, MemberNews, PeerError, PeerMessage, PeerReply, Peers,
+        PoolRoom, RoomNews, SettingsBatch, SettingsDocument, SettingsQuery,
     },
     platform::{Expected, Platform, PlatformObject, PlatformVm, VmKindTag, WatchBatch},
     platform_error::PlatformError,
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -1,11 +1,17 @@
 //! The port towards other entry VMs.
 
 use super::{Body, SendError};
-use crate::{EntryVm, PoolKey, SettingsPath, VmState};
+use crate::{ControlUsage, EntryVm, PoolKey, SettingsPath, TargetName, VmName, VmState};
 use async_trait::async_trait;
 use displaydoc::Display;
 use http::{Request, Response};
-use std::{collections::BTreeMap, fmt::Debug, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Debug,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// Free room of a pool as its owner counts it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -23,6 +29,8 @@
 pub struct Heartbeat {
     /// Digest of the settings in force.
     pub digest: u64,
+    /// How often the sender refuted a suspicion.
+    pub refutation: u64,
     /// Room of the pools that the sender owns.
     pub room: BTreeMap<PoolKey, PoolRoom>,
     /// State of its life cycle.
@@ -31,9 +39,68 @@
     pub vm: EntryVm,
 }
 
+/// A place in the order of a VM's changes; what lies after it has not been told.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Cursor(pub u64);
+
+/// What is told of a VM when it changes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberNews {
+    /// The teller knows that it lives.
+    pub alive: bool,
+    /// How often it refuted a suspicion.
+    pub refutation: u64,
+    /// State of its life cycle.
+    pub state: VmState,
+    /// Who it is.
+    pub vm: EntryVm,
+}
+
+/// What is told of the room of a VM's pools.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RoomNews {
+    /// Incarnation of the VM.
+    pub incarnation: u64,
+    /// Name of the VM.
+    pub name: VmName,
+    /// Room of the pools that it owns.
+    pub room: BTreeMap<PoolKey, PoolRoom>,
+}
+
+/// A heartbeat between VMs that know each other: it tells only what changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Exchange {
+    /// Time since the platform confirmed the settings that the sender has.
+    pub age: Option<Duration>,
+    /// The receiver has taken all that the sender told up to here.
+    pub base: Cursor,
+    /// Digest of the settings in force.
+    pub digest: u64,
+    /// Who sends.
+    pub from: VmName,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Targets of the receiver's zone that are leaving, where that changed.
+    pub leaving: Option<BTreeSet<TargetName>>,
+    /// VMs that changed.
+    pub members: Vec<MemberNews>,
+    /// Settings that changed, with their versions.
+    pub offers: BTreeMap<SettingsPath, u64>,
+    /// Pools that changed.
+    pub rooms: Vec<RoomNews>,
+    /// What the sender has taken of the receiver's changes.
+    pub seen: Cursor,
+    /// What the receiver knows once it has taken this message.
+    pub sent: Cursor,
+    /// VMs that the sender suspects, with incarnation and refutation.
+    pub suspects: Vec<(VmName, u64, u64)>,
+}
+
 /// Asks for settings that are newer than these versions.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SettingsQuery {
+    /// Only the paths that are named are asked for.
+    pub named: bool,
     /// Versions that the asker has in force.
     pub versions: BTreeMap<SettingsPath, u64>,
 }
@@ -59,7 +126,9 @@
 /// A message to a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
-    /// Tells about the sender; answered by the receiver's own heartbeat.
+    /// Tells what changed; answered by what changed at the receiver.
+    Exchange(Exchange),
+    /// Introduces the sender; answered by the receiver's own introduction.
     Heartbeat(Heartbeat),
     /// Asks for newer settings.
     Settings(SettingsQuery),
@@ -68,7 +137,9 @@
 /// A peer's reply.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerReply {
-    /// The receiver's own heartbeat.
+    /// What changed at the receiver.
+    Exchange(Exchange),
+    /// The receiver's own introduction.
     Heartbeat(Heartbeat),
     /// Settings that the asker lacks.
     Settings(SettingsBatch),
@@ -97,6 +168,11 @@
     /// Where the peer can't be reached, refuses or answers something else.
     async fn call(&self, peer: SocketAddr, message: PeerMessage) -> Result<PeerReply, PeerError>;
 
+    /// Bytes of the messages that this port sent, and of their replies.
+    fn usage(&self) -> Arc<ControlUsage> {
+        Arc::default()
+    }
+
     /// Hands a request over to a peer and waits for the head of its answer.
     ///
     /// # Errors
