Answer look-ups from short-lived lists of near VMs

Change: a list of the 256 nearest VMs per home region is kept for 200 ms, the order hashes raw bytes and ends after 16 VMs, the body is a typed struct. `lab bench` measures hop, look-up and upload.

--- a/crates/adapters/src/callers/caller_front.rs
+++ b/crates/adapters/src/callers/caller_front.rs
@@ -1,19 +1,9 @@
 //! Answers callers' requests and look-ups.
 
-use super::to_response;
-use http::{
-    HeaderValue, Request, Response, StatusCode,
-    header::{CACHE_CONTROL, CONTENT_TYPE, ETAG, IF_NONE_MATCH},
-};
-use serde_json::json;
+use super::{LOOKUP_PATH, lookup_front::answer_lookup, to_response};
+use http::{Request, Response};
 use std::{net::SocketAddr, sync::Arc};
-use steer::{
-    Body, ClientBlock, EntryNode, ErrorKind, HOP_HEADER, Origin, Refusal, empty_body, full_body,
-    serve_request,
-};
-
-/// Path of look-ups, with an optional query `block=CIDR`.
-pub const LOOKUP_PATH: &str = "/.well-known/ragwortswitch/lookup";
+use steer::{Body, EntryNode, ErrorKind, HOP_HEADER, Origin, Refusal, serve_request};
 
 /// Answers a caller's request or look-up.
 pub async fn answer_caller(
@@ -44,42 +34,3 @@
         Err(refusal) => to_response(&refusal),
     }
 }
-
-fn answer_lookup(node: &EntryNode, request: &Request<Body>, caller: SocketAddr) -> Response<Body> {
-    let query = request.uri().query().unwrap_or_default();
-    let asked = query.split('&').find_map(|pair| pair.strip_prefix("block="));
-    let block = match asked.map(|text| text.replace("%2F", "/").parse::<ClientBlock>()) {
-        None => ClientBlock::from(caller.ip()),
-        Some(Ok(block)) => block,
-        Some(Err(error)) => {
-            let detail = format!("block: {error}");
-            return to_response(&Refusal::new(ErrorKind::RequestInvalid, detail));
-        }
-    };
-    let answer = node.look_up(&block);
-    let tag = format!("\"{:016x}\"", answer.tag());
-    let known =
-        request.headers().get(IF_NONE_MATCH).is_some_and(|v| v.as_bytes() == tag.as_bytes());
-    let mut response = if known {
-        let mut response = Response::new(empty_body());
-        *response.status_mut() = StatusCode::NOT_MODIFIED;
-        response
-    } else {
-        let vms: Vec<_> = answer
-            .vms
-            .iter()
-            .map(|vm| json!({ "address": vm.address, "name": vm.name, "zone": vm.zone }))
-            .collect();
-        let body = json!({ "max_age_s": answer.max_age.as_secs(), "vms": vms });
-        Response::new(full_body(body.to_string()))
-    };
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let age = format!("max-age={}", answer.max_age.as_secs());
-    for (name, value) in [(CACHE_CONTROL, age), (ETAG, tag)] {
-        if let Ok(value) = HeaderValue::try_from(value) {
-            headers.insert(name, value);
-        }
-    }
-    response
-}
--- /dev/null
+++ b/crates/adapters/src/callers/lookup_front.rs
@@ -0,0 +1,83 @@
+//! Answers look-ups.
+
+use super::to_response;
+use http::{
+    HeaderValue, Request, Response, StatusCode,
+    header::{CACHE_CONTROL, CONTENT_TYPE, ETAG, IF_NONE_MATCH},
+};
+use serde::Serialize;
+use std::net::SocketAddr;
+use steer::{
+    Body, ClientBlock, EntryNode, ErrorKind, LookupAnswer, Refusal, empty_body, full_body,
+};
+
+/// Path of look-ups, with an optional query `block=CIDR`.
+pub const LOOKUP_PATH: &str = "/.well-known/ragwortswitch/lookup";
+
+/// An answer as it is encoded.
+#[derive(Serialize)]
+struct LookupBody<'a> {
+    #[serde(rename = "max_age_s")]
+    max_age: u64,
+    vms: Vec<LookupVmBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct LookupVmBody<'a> {
+    address: SocketAddr,
+    name: &'a str,
+    zone: &'a str,
+}
+
+/// Answers a look-up for the block that it names, or for the caller's own address.
+pub(super) fn answer_lookup(
+    node: &EntryNode,
+    request: &Request<Body>,
+    caller: SocketAddr,
+) -> Response<Body> {
+    let block = match asked_block(request) {
+        None => ClientBlock::from(caller.ip()),
+        Some(Ok(block)) => block,
+        Some(Err(detail)) => {
+            return to_response(&Refusal::new(ErrorKind::RequestInvalid, detail));
+        }
+    };
+    let answer = node.look_up(&block);
+    let tag = format!("\"{:016x}\"", answer.tag());
+    let known =
+        request.headers().get(IF_NONE_MATCH).is_some_and(|v| v.as_bytes() == tag.as_bytes());
+    let mut response = if known {
+        let mut response = Response::new(empty_body());
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+        response
+    } else {
+        Response::new(full_body(to_json(&answer)))
+    };
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let age = format!("max-age={}", answer.max_age.as_secs());
+    for (name, value) in [(CACHE_CONTROL, age), (ETAG, tag)] {
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
+
+/// The block that a query names; `None` where it names none.
+fn asked_block(request: &Request<Body>) -> Option<Result<ClientBlock, String>> {
+    let query = request.uri().query()?;
+    let text = query.split('&').find_map(|pair| pair.strip_prefix("block="))?;
+    let block = text.replace("%2F", "/").replace("%3A", ":").parse();
+    Some(block.map_err(|e| format!("block: {text} is no CIDR block ({e}), such as 10.1.0.0/16")))
+}
+
+fn to_json(answer: &LookupAnswer) -> Vec<u8> {
+    let vms = answer.vms.iter().map(|vm| LookupVmBody {
+        address: vm.address,
+        name: vm.name.as_str(),
+        zone: vm.zone.as_str(),
+    });
+    let body = LookupBody { max_age: answer.max_age.as_secs(), vms: vms.collect() };
+    serde_json::to_vec(&body).expect("strings and numbers can be encoded")
+}
--- a/crates/adapters/src/callers/mod.rs
+++ b/crates/adapters/src/callers/mod.rs
@@ -1,9 +1,11 @@
 //! What callers see: answers, refusals and look-ups over HTTP.
 
 mod caller_front;
+mod lookup_front;
 mod problem_body;
 
 pub use self::{
-    caller_front::{LOOKUP_PATH, answer_caller, answer_hand_off},
+    caller_front::{answer_caller, answer_hand_off},
+    lookup_front::LOOKUP_PATH,
     problem_body::to_response,
 };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! ```
 
 mod arrivals;
+mod bench;
 mod callers;
 mod checks;
 mod demo;
@@ -24,6 +25,7 @@
 
 pub use self::{
     arrivals::{Arrival, make_arrivals},
+    bench::run_bench,
     callers::{Callers, LookupCache, NaiveFront, RequestEnd},
     checks::{Checks, most_in_window},
     demo::{DemoOptions, run_demo},
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,9 @@
 //! The lab's command line.
 
-use lab::{DemoOptions, ExperimentOptions, Policy, run_demo, run_experiment, wrap_peers};
+use lab::{
+    DemoOptions, Deployment, ExperimentOptions, Policy, run_bench, run_demo, run_experiment,
+    wrap_peers,
+};
 use lexopt::{Arg, Parser, ValueExt};
 use std::{error::Error, process::ExitCode};
 
@@ -10,6 +13,7 @@
 Usage: lab COMMAND [OPTIONS]
 
 Commands:
+  bench              Measure what a hop, a look-up and an upload cost
   demo               Run a deployment with traffic, then show a table
   experiment NAME    Run an experiment and judge it by its bounds; exits with 1
                      where one falls short. NAME is one of steady, surge,
@@ -57,6 +61,12 @@
     let options = parse(parser)?;
     let runtime = tokio::runtime::Runtime::new()?;
     match options.command.as_deref() {
+        Some("bench") => {
+            let name = options.deployment.as_deref().unwrap_or("vitrine");
+            let deployment =
+                Deployment::by_name(name).ok_or_else(|| format!("no deployment {name}"))?;
+            runtime.block_on(run_bench(deployment))
+        }
         Some("demo") => {
             let mut demo = DemoOptions::default();
             demo.deployment = options.deployment.unwrap_or(demo.deployment);
--- a/crates/steer/src/lookup/lookup_answer.rs
+++ b/crates/steer/src/lookup/lookup_answer.rs
@@ -1,8 +1,11 @@
 //! The answer to a look-up.
 
 use crate::{AvailabilityZoneName, VmName};
-use std::{net::SocketAddr, time::Duration};
-use xxhash_rust::xxh3::xxh3_64;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use xxhash_rust::xxh3::Xxh3;
 
 /// An entry VM that a caller may use.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +28,9 @@
 }
 
 impl LookupAnswer {
+    /// Most VMs of an answer.
+    pub const MOST_VMS: usize = 16;
+
     /// A tag that changes when the list does.
     ///
     /// ```
@@ -33,8 +39,15 @@
     /// assert_eq!(answer.tag(), answer.clone().tag());
     /// ```
     pub fn tag(&self) -> u64 {
-        let names: Vec<String> =
-            self.vms.iter().map(|vm| format!("{}={}", vm.name, vm.address)).collect();
-        xxh3_64(names.join(",").as_bytes())
+        let mut hash = Xxh3::new();
+        for vm in &self.vms {
+            hash.update(vm.name.as_str().as_bytes());
+            match vm.address.ip() {
+                IpAddr::V4(v4) => hash.update(&v4.octets()),
+                IpAddr::V6(v6) => hash.update(&v6.octets()),
+            }
+            hash.update(&vm.address.port().to_le_bytes());
+        }
+        hash.digest()
     }
 }
--- a/crates/steer/src/membership/membership_table.rs
+++ b/crates/steer/src/membership/membership_table.rs
@@ -62,7 +62,7 @@
         let Heartbeat { digest, refutation, room, state, vm } = beat;
         let name = vm.name.clone();
         self.check_incarnation(&name, vm.incarnation)?;
-        self.put(MemberNews { alive: true, refutation, state, vm }, now);
+        self.put(&MemberNews { alive: true, refutation, state, vm }, now);
         let changes = self.next_change();
         if let Some(record) = self.peers.get_mut(&name) {
             record.set_direct(now, changes);
@@ -131,7 +131,7 @@
             }
             return;
         }
-        let refuted = self.put(news.clone(), now);
+        let refuted = self.put(news, now);
         let vouched = own.zone != news.vm.zone || refuted;
         if let Some(record) = self.peers.get_mut(&news.vm.name)
             && vouched
@@ -177,13 +177,13 @@
     }
 
     /// Puts what is known of a VM in place; tells whether it refutes a suspicion.
-    fn put(&mut self, news: MemberNews, now: Instant) -> bool {
+    fn put(&mut self, news: &MemberNews, now: Instant) -> bool {
         let changes = self.next_change();
         self.end_others_at(&news.vm, changes);
         match self.peers.get_mut(&news.vm.name) {
-            Some(held) if held.vm.incarnation == news.vm.incarnation => held.update(&news, changes),
+            Some(held) if held.vm.incarnation == news.vm.incarnation => held.update(news, changes),
             _ => {
-                let record = PeerRecord::new(&news, changes, now);
+                let record = PeerRecord::new(news, changes, now);
                 self.peers.insert(news.vm.name.clone(), record);
                 false
             }
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -2,10 +2,10 @@
 
 use super::EntryPorts;
 use crate::{
-    AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
-    LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
-    PutError, RegionName, Rejection, Settings, SettingsDocument, SettingsQuery, SettingsTree,
-    Snapshot, TalkState, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+    ClientBlock, EntryVm, Heartbeat, LookupAnswer, LookupBoard, LookupCandidate, LookupVm,
+    MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey, PutError, RegionName, Rejection,
+    Settings, SettingsDocument, SettingsQuery, SettingsTree, Snapshot, TalkState, TargetName,
+    TargetPool, VmName, VmState, choose_owner, order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -16,20 +16,13 @@
 use tokio::{sync::watch, time::Instant};
 use tokio_util::task::TaskTracker;
 
-/// Home regions of client blocks, ready for look-ups.
-#[derive(Debug, Default)]
-struct Homes {
-    regions: Vec<RegionName>,
-    table: BlockTable,
-}
-
 /// The shared state of an entry VM. Flows read and change it through short calls; no lock is
 /// held across an await.
 #[derive(Debug)]
 pub struct EntryNode {
-    homes: Mutex<Arc<Homes>>,
     leaving: Mutex<BTreeSet<TargetName>>,
     log: Logger,
+    lookups: LookupBoard,
     members: Mutex<MembershipTable>,
     pools: Mutex<BTreeMap<PoolKey, Arc<TargetPool>>>,
     ports: EntryPorts,
@@ -57,9 +50,9 @@
         log: Logger,
     ) -> Self {
         Self {
-            homes: Mutex::default(),
             leaving: Mutex::default(),
             log,
+            lookups: LookupBoard::default(),
             members: Mutex::default(),
             pools: Mutex::default(),
             ports,
@@ -155,12 +148,10 @@
     }
 
     fn rebuild(&self, snapshot: Arc<Snapshot>) {
-        let blocks = snapshot.fleet().map(|f| f.blocks.clone()).unwrap_or_default();
-        let regions: Vec<RegionName> =
-            blocks.values().cloned().collect::<BTreeSet<_>>().into_iter().collect();
-        let index = |region| regions.binary_search(region).unwrap_or_default() as u32;
-        let table = BlockTable::new(blocks.iter().map(|(block, region)| (*block, index(region))));
-        *lock(&self.homes) = Arc::new(Homes { regions, table });
+        if let Some(fleet) = snapshot.fleet() {
+            self.lookups.set_blocks(&fleet.blocks);
+            self.lookups.forget_near();
+        }
         self.snapshot.send_replace(snapshot);
         self.refresh_pools();
     }
@@ -266,40 +257,26 @@
 
     /// Answers a look-up for a client block: serving VMs, nearest to its home region first.
     pub fn look_up(&self, block: &ClientBlock) -> LookupAnswer {
+        let home = self.lookups.home(block).unwrap_or_else(|| self.vm.region.clone());
+        let near = self.lookups.near(&home, Instant::now(), || self.lookup_candidates(&home));
+        LookupAnswer { max_age: Self::LOOKUP_AGE, vms: order_vms(block, &near) }
+    }
+
+    /// All serving VMs with their delay from a region.
+    fn lookup_candidates(&self, home: &RegionName) -> Vec<LookupCandidate> {
         let snapshot = self.snapshot();
-        let home = self.home_zone(&snapshot, block);
         let members = lock(&self.members);
         let own = self.state().accepts_work().then_some(&self.vm);
         let peers = members.serving(Instant::now()).map(|p| &p.vm);
-        let candidates = peers.chain(own).map(|vm| LookupCandidate {
-            delay_ms: Self::home_delay(&snapshot, &home, vm),
+        let candidate = |vm: &EntryVm| LookupCandidate {
+            delay_ms: snapshot.region_delay_ms(home, &vm.region).unwrap_or(f64::MAX),
             vm: LookupVm {
                 address: vm.addresses.callers,
                 name: vm.name.clone(),
                 zone: vm.zone.clone(),
             },
-        });
-        let vms = order_vms(block, candidates.collect());
-        LookupAnswer { max_age: Self::LOOKUP_AGE, vms }
-    }
-
-    /// An availability zone of the block's home region, this VM's own where none is set.
-    fn home_zone(&self, snapshot: &Snapshot, block: &ClientBlock) -> AvailabilityZoneName {
-        let homes = Arc::clone(&lock(&self.homes));
-        homes
-            .table
-            .find(block.network().addr())
-            .and_then(|index| homes.regions.get(index as usize))
-            .and_then(|region| snapshot.region(region)?.zones.first())
-            .unwrap_or(&self.vm.zone)
-            .clone()
-    }
-
-    fn home_delay(snapshot: &Snapshot, home: &AvailabilityZoneName, vm: &EntryVm) -> f64 {
-        if snapshot.region_of(home) == Some(&vm.region) {
-            return 0.0;
-        }
-        snapshot.delay_ms(home, &vm.zone).unwrap_or(f64::MAX)
+        };
+        peers.chain(own).map(candidate).collect()
     }
 
     /// Whether a VM of this name is known under a live incarnation.
--- a/crates/steer/src/settings/snapshot.rs
+++ b/crates/steer/src/settings/snapshot.rs
@@ -115,12 +115,19 @@
         if a == b {
             return Some(0.0);
         }
-        let fleet = self.fleet()?;
         let (from, to) = (self.region_of(a)?, self.region_of(b)?);
         if from == to {
-            return fleet.regions.get(from).map(|r| r.delay_ms);
+            return self.region(from).map(|r| r.delay_ms);
         }
-        fleet.links.iter().find(|link| link.joins(from, to)).map(|link| link.delay_ms)
+        self.region_delay_ms(from, to)
+    }
+
+    /// One-way delay of the link between two regions in milliseconds, zero inside a region.
+    pub fn region_delay_ms(&self, a: &RegionName, b: &RegionName) -> Option<f64> {
+        if a == b {
+            return Some(0.0);
+        }
+        self.fleet()?.links.iter().find(|link| link.joins(a, b)).map(|link| link.delay_ms)
     }
 
     /// The region of an availability zone.
