--- /dev/null
+++ b/crates/adapters/tests/target_contract.rs
@@ -0,0 +1,287 @@
+//! The contract of the port towards targets, against scripted servers on raw sockets.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use adapters::{ConnectionPool, HttpTargets};
+use bytes::Bytes;
+use http::{Request, header::HOST};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use std::{
+    fmt::Write,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use steer::{Body, BodyError, SendError, Targets, empty_body};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour";
+const SECOND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
+
+/// What the server does on its first connection; each later one answers `SECOND` for ever.
+#[derive(Clone, Copy)]
+enum Script {
+    /// Reads the request, writes this, and keeps the connection open.
+    Answer(&'static str),
+    /// Reads the request, writes this, and closes the connection.
+    AnswerAndClose(&'static str),
+}
+
+const CASES: &[(&str, Script)] = &[
+    ("answers whole", Script::Answer(WHOLE)),
+    ("answers whole and closes", Script::AnswerAndClose(WHOLE)),
+    ("closes without an answer", Script::AnswerAndClose("")),
+    ("closes inside the head", Script::AnswerAndClose("HTTP/1.1 200 OK\r\ncontent-le")),
+    (
+        "closes inside the body",
+        Script::AnswerAndClose("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nfour"),
+    ),
+    (
+        "closes before the last chunk",
+        Script::AnswerAndClose(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n",
+        ),
+    ),
+    (
+        "ends the last chunk",
+        Script::Answer(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        ),
+    ),
+    (
+        "sends a chunk of a wrong length",
+        Script::Answer(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nfour\r\n0\r\n\r\n",
+        ),
+    ),
+    (
+        "sends more than it said",
+        Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfourHTTP/1.1 200 OK\r\n"),
+    ),
+    (
+        "sends two answers at once",
+        Script::Answer(
+            "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour\
+             HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong",
+        ),
+    ),
+    (
+        "gives two lengths",
+        Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nfour!"),
+    ),
+    (
+        "sends an interim answer first",
+        Script::Answer(
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour",
+        ),
+    ),
+    ("sends no HTTP", Script::AnswerAndClose("220 mail.example ESMTP\r\n")),
+];
+
+async fn read_head(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return,
+        }
+    }
+}
+
+async fn play(mut stream: TcpStream, script: Script) {
+    let (text, close) = match script {
+        Script::Answer(text) => (text, false),
+        Script::AnswerAndClose(text) => (text, true),
+    };
+    read_head(&mut stream).await;
+    stream.write_all(text.as_bytes()).await.unwrap();
+    if !close {
+        // Waits until the other side closes.
+        let _ended = stream.read(&mut [0; 64]).await;
+    }
+}
+
+async fn answer_for_ever(mut stream: TcpStream) {
+    loop {
+        read_head(&mut stream).await;
+        if stream.write_all(SECOND.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn start(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (first, _) = listener.accept().await.unwrap();
+        tokio::spawn(play(first, script));
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_for_ever(stream));
+        }
+    });
+    address
+}
+
+fn request(body: Body) -> Request<Body> {
+    Request::post("/work").header(HOST, "service.example").body(body).unwrap()
+}
+
+async fn outcome(targets: &HttpTargets, address: SocketAddr) -> String {
+    match targets.send(address, request(empty_body())).await {
+        Err(SendError::NotSent { .. }) => "not sent".into(),
+        Err(SendError::Sent { .. }) => "may have run".into(),
+        Ok(response) => match response.into_body().collect().await {
+            Ok(body) => format!("whole: {}", String::from_utf8_lossy(&body.to_bytes())),
+            Err(_) => "cut".into(),
+        },
+    }
+}
+
+#[tokio::test]
+async fn takes_only_whole_answers_and_never_those_of_another_request() {
+    let mut table = format!("{:<34} {:<14} second request\n", "target", "first request");
+    for (name, script) in CASES {
+        let targets = HttpTargets::new(ConnectionPool::new());
+        let address = start(*script).await;
+        let first = outcome(&targets, address).await;
+        let second = outcome(&targets, address).await;
+        writeln!(table, "{name:<34} {first:<14} {second}").unwrap();
+    }
+    let targets = HttpTargets::new(ConnectionPool::new());
+    let closed = {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        listener.local_addr().unwrap()
+    };
+    let first = outcome(&targets, closed).await;
+    writeln!(table, "{:<34} {first:<14} -", "refuses connections").unwrap();
+    insta::assert_snapshot!(table);
+}
+
+/// The server answers the first request only after its caller gave up.
+#[tokio::test]
+async fn never_gives_a_late_answer_to_a_later_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (arrived, wait_arrived) = oneshot::channel();
+    let (release, wait_release) = oneshot::channel::<()>();
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            read_head(&mut first).await;
+            arrived.send(()).unwrap();
+            wait_release.await.unwrap();
+            // The caller's side is closed; the late answer goes nowhere.
+            let _late = first.write_all(WHOLE.as_bytes()).await;
+        });
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_for_ever(stream));
+        }
+    });
+    let pool = ConnectionPool::new();
+    let targets = HttpTargets::new(Arc::clone(&pool));
+    tokio::select! {
+        _ = outcome(&targets, address) => panic!("no answer was sent"),
+        _ = wait_arrived => {}
+    }
+    assert_eq!(pool.idle(), 0, "a connection without an answer isn't kept");
+    release.send(()).unwrap();
+    for _ in 0..3 {
+        assert_eq!(outcome(&targets, address).await, "whole: second");
+    }
+}
+
+/// An answer that its caller drops in the middle is no reason to reuse the connection.
+#[tokio::test]
+async fn closes_the_connection_of_an_answer_that_was_not_read() {
+    let address = start(Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nfour")).await;
+    let pool = ConnectionPool::new();
+    let targets = HttpTargets::new(Arc::clone(&pool));
+    let response = targets.send(address, request(empty_body())).await.unwrap();
+    let mut body = response.into_body();
+    assert_eq!(body.frame().await.unwrap().unwrap().into_data().unwrap(), "four");
+    drop(body);
+    assert_eq!(pool.idle(), 0);
+    assert_eq!(outcome(&targets, address).await, "whole: second");
+}
+
+/// Bytes of an upload that may be taken ahead of a target that doesn't read: what the sockets'
+/// own buffers hold.
+const AHEAD: usize = 24 << 20;
+const UPLOAD: usize = 128 << 20;
+
+#[tokio::test]
+async fn reads_an_upload_no_faster_than_the_target_takes_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (go_on, wait_go_on) = oneshot::channel::<()>();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        wait_go_on.await.unwrap();
+        let mut buffer = vec![0; 1 << 20];
+        let mut left = UPLOAD;
+        read_head(&mut stream).await;
+        while left > 0 {
+            left = left.saturating_sub(stream.read(&mut buffer).await.unwrap());
+        }
+        stream.write_all(WHOLE.as_bytes()).await.unwrap();
+        let _ended = stream.read(&mut [0; 64]).await;
+    });
+    let taken = Arc::new(AtomicUsize::new(0));
+    let (counter, chunk) = (Arc::clone(&taken), Bytes::from(vec![0; 64 << 10]));
+    let frames = (0..UPLOAD / chunk.len()).map(move |_| {
+        counter.fetch_add(chunk.len(), Ordering::Relaxed);
+        Ok::<_, BodyError>(Frame::data(chunk.clone()))
+    });
+    let body = StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync();
+    let mut request = request(body);
+    request.headers_mut().insert("content-length", UPLOAD.into());
+    let targets = HttpTargets::new(ConnectionPool::new());
+    let sending = tokio::spawn(async move { targets.send(address, request).await.map(drop) });
+    let mut last = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let now = taken.load(Ordering::Relaxed);
+        if now == last && now > 0 {
+            break;
+        }
+        last = now;
+    }
+    assert!(last < AHEAD, "{last} bytes were taken while the target read nothing");
+    go_on.send(()).unwrap();
+    sending.await.unwrap().unwrap();
+    assert_eq!(taken.load(Ordering::Relaxed), UPLOAD);
+}
+
+/// A body that breaks off must not look like a whole upload to the target.
+#[tokio::test]
+async fn cuts_the_targets_connection_where_an_upload_breaks_off() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, wait_seen) = oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        // An error is as good as an end here: either way the upload wasn't completed.
+        let _ended = stream.read_to_end(&mut bytes).await;
+        seen.send(String::from_utf8_lossy(&bytes).into_owned()).unwrap();
+    });
+    let frames = [
+        Ok(Frame::data(Bytes::from("part"))),
+        Err(BodyError { reason: "the caller went away".into() }),
+    ];
+    let body = StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync();
+    let targets = HttpTargets::new(ConnectionPool::new());
+    let sent = targets.send(address, request(body)).await;
+    assert!(matches!(sent, Err(SendError::Sent { .. })));
+    let bytes = wait_seen.await.unwrap();
+    assert!(!bytes.ends_with("0\r\n\r\n"), "the target saw a whole body: {bytes}");
+}
