Measure how fast a fleet learns, by its shape

Cause: the bounds on joins, changes, drains and losses had no test. Change: fakes of both ports join entry VMs on paused time; VMs tell mates of mates, pass urgent news on at once and say farewell before they stop.

--- a/crates/adapters/src/peers/wire_exchange.rs
+++ b/crates/adapters/src/peers/wire_exchange.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 use steer::{Cursor, Exchange, MemberNews, RoomNews};
@@ -23,6 +24,8 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     m: Vec<(bool, u64, WireState, WireEntryVm)>,
     n: String,
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    k: BTreeSet<SocketAddr>,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     o: BTreeMap<String, u64>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -42,6 +45,7 @@
             c: [exchange.base.0, exchange.seen.0, exchange.sent.0],
             d: exchange.digest,
             i: exchange.incarnation,
+            k: exchange.mates.clone(),
             l: leaving.map(|names| names.iter().map(ToString::to_string).collect()),
             m: members
                 .map(|m| (m.alive, m.refutation, m.state.into(), WireEntryVm::from(&m.vm)))
@@ -74,6 +78,7 @@
             from: wire.n.into(),
             incarnation: wire.i,
             leaving: wire.l.map(|names| names.into_iter().map(Into::into).collect()),
+            mates: wire.k,
             members: wire.m.into_iter().map(to_member).collect(),
             offers: to_versions(wire.o)?,
             rooms: wire.u.into_iter().map(to_room).collect(),
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -21,5 +21,5 @@
     serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
     talk_to_peer::talk_to_peer,
     watch_settings::watch_settings,
-    watch_vms::watch_vms,
+    watch_vms::{tell_all, watch_vms},
 };
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,6 +1,6 @@
 //! The life of an entry VM.
 
-use super::{watch_settings, watch_vms};
+use super::{tell_all, watch_settings, watch_vms};
 use crate::{EntryNode, Joining, Stopped, Vm};
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -33,6 +33,7 @@
     stop.await;
     let vm = vm.drain();
     info!(node.log(), "vm: draining"; "requests" => node.work().len());
+    tell_all(&node).await;
     node.work().close();
     node.work().wait().await;
     let vm = vm.stop();
--- a/crates/steer/src/flows/talk_to_peer.rs
+++ b/crates/steer/src/flows/talk_to_peer.rs
@@ -23,8 +23,9 @@
     let mut at = Instant::now();
     while let Some(period) = node.period_to(peer) {
         let urgent = select! {
-            () = sleep_until(at) => false,
+            biased;
             () = wake.notified() => true,
+            () = sleep_until(at) => false,
         };
         if !urgent && talk.introduced && talk.failures == 0 && heard_lately(node, peer, period) {
             at = Instant::now() + period / 2;
--- a/crates/steer/src/flows/watch_vms.rs
+++ b/crates/steer/src/flows/watch_vms.rs
@@ -2,7 +2,7 @@
 
 use super::{Backoff, talk_to_peer};
 use crate::{
-    AvailabilityZoneName, EntryNode, PlatformVm, TalkPlan, TargetName, VmKindTag, VmState,
+    AvailabilityZoneName, EntryNode, PeerMessage, PlatformVm, TargetName, VmKindTag, VmState,
 };
 use slog::warn;
 use std::{
@@ -13,13 +13,15 @@
 };
 use tokio::{
     task::{AbortHandle, JoinSet},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 /// Time between two looks at who was heard.
 const SWEEP: Duration = Duration::from_millis(100);
 /// Time between two looks at the platform's list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Longest time that peers get to take an announcement.
+const TELL_WAIT: Duration = Duration::from_millis(500);
 /// VMs of a zone without a known live VM that are tried.
 const TRIED: usize = 2;
 
@@ -35,13 +37,15 @@
     talks.spawn(async move { read_lists(&reader).await });
     loop {
         tokio::select! {
+            biased;
             _ = ticks.tick() => {}
+            () = node.talk().changed.notified() => {}
             Ok(()) = state.changed() => node.announce(),
         }
         let plan = node.sweep();
         while talks.try_join_next().is_some() {}
         running.retain(|_, talk| !talk.is_finished());
-        for peer in plan.periods.into_keys().chain(node.strangers()) {
+        for peer in plan.periods.keys().copied().chain(node.strangers()) {
             running.entry(peer).or_insert_with(|| {
                 let node = Arc::clone(node);
                 talks.spawn(async move { talk_to_peer(&node, peer).await })
@@ -107,13 +111,28 @@
     wanted
 }
 
+/// Tells all peers of the plan what changed, at once and together; gives up on those that don't
+/// reply in time.
+pub async fn tell_all(node: &Arc<EntryNode>) {
+    let mut calls = JoinSet::new();
+    for peer in node.plan().periods.keys().filter_map(|peer| node.peer_at(*peer)) {
+        let node = Arc::clone(node);
+        calls.spawn(async move {
+            let message = PeerMessage::Exchange(node.exchange_for(&peer.vm));
+            drop(node.ports().peers.call(peer.vm.addresses.peers, message).await);
+        });
+    }
+    let all = async { while calls.join_next().await.is_some() {} };
+    drop(timeout(TELL_WAIT, all).await);
+}
+
 impl EntryNode {
     /// Time between heartbeats to a peer; `None` where this VM has no reason to talk to it.
     pub(super) fn period_to(&self, peer: SocketAddr) -> Option<Duration> {
         if self.state() == VmState::Stopped {
             return None;
         }
-        let plan: TalkPlan = self.plan();
+        let plan = self.plan();
         let stranger = || self.strangers().contains(&peer).then_some(LIST_PERIOD / 2);
         plan.periods.get(&peer).copied().or_else(stranger)
     }
--- a/crates/steer/src/membership/membership_table.rs
+++ b/crates/steer/src/membership/membership_table.rs
@@ -12,6 +12,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 use tokio::time::Instant;
@@ -26,6 +27,15 @@
     told: u64,
 }
 
+/// What a sweep found.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Sweep {
+    /// Peers that are no longer heard; what they tell is no longer counted.
+    pub lost: Vec<VmName>,
+    /// This VM was paused; the silence of others is not held against them.
+    pub paused: bool,
+}
+
 /// The peers by name, each at its highest incarnation.
 #[derive(Debug, Default)]
 pub struct MembershipTable {
@@ -34,6 +44,7 @@
     peers: BTreeMap<VmName, PeerRecord>,
     refutation: u64,
     swept: Option<Instant>,
+    urgent: bool,
 }
 
 impl MembershipTable {
@@ -125,6 +136,7 @@
         }
         let changes = self.next_change();
         if !news.alive {
+            self.urgent |= self.peers.get(&news.vm.name).is_some_and(|p| p.alive);
             let neighbour = sender.zone == news.vm.zone && own.zone != news.vm.zone;
             if let Some(record) = self.peers.get_mut(&news.vm.name) {
                 record.lose_teller(&sender.name, news, neighbour, changes);
@@ -208,9 +220,8 @@
         regions.len()
     }
 
-    /// Brings suspicions and losses up to date; tells whether this VM was paused, in which case
-    /// the silence of others is not held against them.
-    pub fn sweep(&mut self, own: &EntryVm, now: Instant) -> bool {
+    /// Brings suspicions and losses up to date.
+    pub fn sweep(&mut self, own: &EntryVm, now: Instant) -> Sweep {
         let gap = self.swept.map_or(Duration::ZERO, |then| now.duration_since(then));
         self.swept = Some(now);
         let paused = gap > Self::PAUSE;
@@ -219,19 +230,37 @@
         }
         let mates = self.peers.values().filter(|p| p.alive && p.vm.zone == own.zone).count();
         let (near, far) = (mate_period(mates + 1), far_period(self.regions()));
+        let mut lost = Vec::new();
         for record in self.peers.values_mut() {
             let period = if record.vm.region == own.region { near } else { far };
+            let before = (record.is_direct(), record.suspected);
             self.changes += 1;
             record.judge_silence(period + Self::SUSPECT_AFTER, self.changes, now);
+            if before.0 && !record.is_direct() {
+                lost.push(record.vm.name.clone());
+            }
+            self.urgent |= before != (record.is_direct(), record.suspected);
         }
         let direct: BTreeSet<VmName> =
             self.peers.values().filter(|p| p.is_direct()).map(|p| p.vm.name.clone()).collect();
         for record in self.peers.values_mut() {
+            let before = record.alive;
             self.changes += 1;
             record.judge_tellers(&direct, self.changes, now);
+            self.urgent |= before != record.alive;
         }
         self.peers.retain(|_, p| p.alive || now.duration_since(p.heard) < Self::FORGET_AFTER);
-        paused
+        Sweep { lost, paused }
+    }
+
+    /// A VM came, went or changed its state, which is not told yet.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// Whether a VM came, went or changed its state since the last call.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.urgent)
     }
 
     /// Takes what this VM says of itself; gives the number of the change where there is one.
@@ -299,6 +328,14 @@
         (members, rooms, reached)
     }
 
+    /// Addresses of live VMs of a peer's zone that it may not know yet.
+    pub fn mates_for(&self, to: &EntryVm, after: Cursor, sent: Cursor) -> BTreeSet<SocketAddr> {
+        let due = |r: &&PeerRecord| r.changed > after.0 && r.changed <= sent.0;
+        let mates = self.peers.values().filter(|r| r.alive && r.vm.zone == to.zone);
+        let new = mates.filter(due).filter(|r| r.vm.name != to.name);
+        new.map(|r| r.vm.addresses.peers).collect()
+    }
+
     fn is_passed(&self, own: &EntryVm, record: &PeerRecord, to: &EntryVm) -> bool {
         let mut sources = record.sources().filter_map(|name| self.peers.get(name));
         sources.any(|teller| may_pass(own, &record.vm, &teller.vm, to))
@@ -338,7 +375,7 @@
     }
 
     /// A peer by the address at which it takes messages.
-    pub fn at(&self, address: std::net::SocketAddr) -> Option<&PeerRecord> {
+    pub fn at(&self, address: SocketAddr) -> Option<&PeerRecord> {
         let at = self.peers.values().filter(|p| p.vm.addresses.peers == address);
         at.max_by_key(|p| p.vm.incarnation)
     }
--- a/crates/steer/src/membership/mod.rs
+++ b/crates/steer/src/membership/mod.rs
@@ -19,7 +19,7 @@
     delegates::{Candidate, DELEGATES, TalkPlan, choose_delegates},
     entry_vm::{EntryVm, VmAddresses},
     knowledge::Knowledge,
-    membership_table::MembershipTable,
+    membership_table::{MembershipTable, Sweep},
     peer_record::PeerRecord,
     rejection::Rejection,
     vm::{Draining, Joining, Serving, Stopped, Vm},
--- a/crates/steer/src/membership/node_membership.rs
+++ b/crates/steer/src/membership/node_membership.rs
@@ -5,8 +5,8 @@
     VmState,
 };
 use crate::{
-    EntryNode, Exchange, Heartbeat, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
-    TargetName, VmName,
+    Cursor, EntryNode, Exchange, Heartbeat, SettingsBatch, SettingsDocument, SettingsPath,
+    SettingsQuery, TargetName, VmName,
 };
 use slog::{debug, info, warn};
 use std::{
@@ -62,6 +62,7 @@
         let leaving = leaving.own.clone().filter(|_| mate && due(leaving.changed));
         let age = talk.knowledge.settings_at.map(|then| now.duration_since(then));
         let suspects = members.suspects_for(self.vm(), to);
+        let mates = members.mates_for(to, after, sent);
         drop((members, talk));
         Exchange {
             age,
@@ -70,6 +71,7 @@
             from: own.vm.name,
             incarnation: own.vm.incarnation,
             leaving,
+            mates,
             members: news,
             offers: self.with_tree(|tree| {
                 let version = |path: SettingsPath| Some((path.clone(), tree.version(&path)?));
@@ -93,8 +95,13 @@
             let mut members = self.members();
             let before = members.refutation();
             members.take(self.vm(), &exchange, now)?;
-            (before, members.refutation())
+            (before, members.refutation(), members.is_urgent())
         };
+        self.note_mates(&exchange.mates);
+        if refutations.2 {
+            self.talk().changed.notify_one();
+        }
+        let suspects = !exchange.suspects.is_empty();
         let mut talk = self.talk().lock();
         let cursors = talk.cursors.entry(exchange.from.clone()).or_default();
         cursors.incarnation = exchange.incarnation;
@@ -118,13 +125,24 @@
         if told {
             self.apply_leaving();
         }
-        if refutations.0 != refutations.1 || !exchange.suspects.is_empty() {
+        if refutations.0 != refutations.1 || suspects {
             debug!(self.log(), "membership: suspicion heard"; "refutation" => refutations.1);
             self.announce();
         }
         Ok(())
     }
 
+    /// Gets to know VMs of this zone that a peer knows.
+    fn note_mates(&self, mates: &BTreeSet<SocketAddr>) {
+        if mates.is_empty() {
+            return;
+        }
+        let known: BTreeSet<_> = self.peers().iter().map(|p| p.vm.addresses.peers).collect();
+        let new: Vec<_> = mates.difference(&known).copied().collect();
+        self.talk().lock().listed.extend(new);
+        self.talk().changed.notify_one();
+    }
+
     /// Tells all peers at once what changed.
     pub fn announce(&self) {
         self.talk().wake_all();
@@ -140,22 +158,35 @@
         self.talk().watch_pauses()
     }
 
-    /// Judges silent peers and plans the talks anew.
-    pub fn sweep(&self) -> TalkPlan {
-        let (paused, plan) = {
+    /// Judges silent peers and plans the talks anew where something changed.
+    pub fn sweep(&self) -> Arc<TalkPlan> {
+        let (swept, plan) = {
             let mut members = self.members();
-            let paused = members.sweep(self.vm(), Instant::now());
-            (paused, members.plan(self.vm()))
+            let swept = members.sweep(self.vm(), Instant::now());
+            let urgent = members.take_urgent();
+            (swept, urgent.then(|| members.plan(self.vm())))
         };
-        if paused {
+        if swept.paused {
             warn!(self.log(), "membership: this VM was paused");
             self.talk().note_pause();
         }
         let mut talk = self.talk().lock();
+        for name in &swept.lost {
+            if let Some(cursors) = talk.cursors.get_mut(name) {
+                cursors.seen = Cursor::default();
+            }
+        }
+        let first = talk.plan.periods.is_empty();
+        let Some(plan) = plan.or_else(|| first.then(|| self.members().plan(self.vm()))) else {
+            return Arc::clone(&talk.plan);
+        };
         if talk.plan.delegate != plan.delegate {
             info!(self.log(), "membership: role changed"; "delegate" => plan.delegate);
         }
-        talk.plan = plan.clone();
+        let plan = Arc::new(plan);
+        talk.plan = Arc::clone(&plan);
+        drop(talk);
+        self.announce();
         plan
     }
 
@@ -165,8 +196,8 @@
     }
 
     /// Whom this VM talks to now.
-    pub fn plan(&self) -> TalkPlan {
-        self.talk().lock().plan.clone()
+    pub fn plan(&self) -> Arc<TalkPlan> {
+        Arc::clone(&self.talk().lock().plan)
     }
 
     /// Takes the addresses of peers that the process settings name.
--- a/crates/steer/src/membership/talk_state.rs
+++ b/crates/steer/src/membership/talk_state.rs
@@ -28,6 +28,7 @@
 /// What the talks with peers share.
 #[derive(Debug)]
 pub(crate) struct TalkState {
+    pub(crate) changed: Notify,
     pub(crate) control: ControlUsage,
     pub(crate) fetching: tokio::sync::Mutex<()>,
     pauses: watch::Sender<u64>,
@@ -42,7 +43,7 @@
     pub(crate) leaving: LeavingNews,
     pub(crate) offers: BTreeMap<VmName, BTreeMap<SettingsPath, u64>>,
     pub(crate) listed: BTreeSet<SocketAddr>,
-    pub(crate) plan: TalkPlan,
+    pub(crate) plan: Arc<TalkPlan>,
     pub(crate) seeds: BTreeSet<SocketAddr>,
     pub(crate) settings: BTreeMap<SettingsPath, u64>,
     pub(crate) wakes: BTreeMap<SocketAddr, Arc<Notify>>,
@@ -51,6 +52,7 @@
 impl Default for TalkState {
     fn default() -> Self {
         Self {
+            changed: Notify::new(),
             control: ControlUsage::default(),
             fetching: tokio::sync::Mutex::default(),
             pauses: watch::Sender::new(0),
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -82,6 +82,8 @@
     pub incarnation: u64,
     /// Targets of the receiver's zone that are leaving, where that changed.
     pub leaving: Option<BTreeSet<TargetName>>,
+    /// Addresses of VMs of the receiver's zone that it may not know yet.
+    pub mates: BTreeSet<SocketAddr>,
     /// VMs that changed.
     pub members: Vec<MemberNews>,
     /// Settings that changed, with their versions.
--- /dev/null
+++ b/crates/steer/tests/fleet/mod.rs
@@ -0,0 +1,212 @@
+//! Entry VMs in one process, joined by fakes of the ports towards peers and the platform.
+
+#![allow(clippy::unwrap_used, dead_code, reason = "a test may panic, and not each uses all")]
+
+mod fake_peers;
+mod fake_platform;
+
+pub(crate) use self::{fake_peers::FakePeers, fake_platform::FakePlatform};
+use async_trait::async_trait;
+use http::{Request, Response};
+use slog::{Discard, Logger, o};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::{
+    Body, EntryNode, EntryPorts, EntryVm, GuardedPlatform, LoadError, LoadReport, NoMeter,
+    NoTracer, PlatformVm, SendError, SettingsPath, SystemClock, Targets, Vm, VmAddresses,
+    VmKindTag, VmState, run_entry,
+};
+use tokio::{
+    sync::Notify,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+/// What the fakes share: who is reachable and what the platform holds.
+#[derive(Debug, Default)]
+pub(crate) struct Network {
+    pub(crate) cuts: Mutex<BTreeSet<(String, String)>>,
+    pub(crate) nodes: Mutex<BTreeMap<SocketAddr, Arc<EntryNode>>>,
+    pub(crate) platform: FakePlatform,
+}
+
+impl Network {
+    /// Whether what stands under one name reaches what stands under another.
+    pub(crate) fn reaches(&self, a: &str, b: &str) -> bool {
+        let cuts = self.cuts.lock().unwrap();
+        !cuts.contains(&(a.to_owned(), b.to_owned()))
+            && !cuts.contains(&(b.to_owned(), a.to_owned()))
+    }
+
+    pub(crate) fn cut(&self, a: &str, b: &str) {
+        self.cuts.lock().unwrap().insert((a.to_owned(), b.to_owned()));
+    }
+
+    pub(crate) fn heal(&self) {
+        self.cuts.lock().unwrap().clear();
+    }
+}
+
+#[derive(Debug)]
+struct NoTargets;
+
+#[async_trait]
+impl Targets for NoTargets {
+    async fn send(&self, _: SocketAddr, r: Request<Body>) -> Result<Response<Body>, SendError> {
+        Err(SendError::not_sent("no targets", r))
+    }
+
+    async fn read_load(&self, _: SocketAddr) -> Result<LoadReport, LoadError> {
+        Err(LoadError { reason: "no targets".into() })
+    }
+}
+
+/// An entry VM under way.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) node: Arc<EntryNode>,
+    pub(crate) stop: Arc<Notify>,
+    pub(crate) task: JoinHandle<()>,
+}
+
+/// A fleet of some regions, zones a region and VMs a zone.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub(crate) network: Arc<Network>,
+    pub(crate) starts: u64,
+    pub(crate) vms: BTreeMap<usize, Running>,
+}
+
+impl Fleet {
+    pub(crate) fn entry_vm(number: usize, shape: (usize, usize), incarnation: u64) -> EntryVm {
+        let (zones, vms) = shape;
+        let zone = number / vms;
+        let at = |port: u16| {
+            SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8 + 1], port))
+        };
+        EntryVm {
+            addresses: VmAddresses {
+                callers: at(1),
+                handoff: at(2),
+                operators: at(3),
+                peers: at(4),
+            },
+            fleet: "test".into(),
+            incarnation,
+            name: format!("vm-{number:03}").into(),
+            region: format!("region-{}", zone / zones).into(),
+            zone: format!("zone-{zone}").into(),
+        }
+    }
+
+    /// Starts all VMs, listed in the platform with its first settings.
+    pub(crate) async fn start(regions: usize, zones: usize, vms: usize) -> Self {
+        let mut fleet = Self::default();
+        let total = regions * zones * vms;
+        fleet.network.platform.put("settings/fleet", &fleet_text(0));
+        let listed = (0..total).map(|n| to_listed(&Self::entry_vm(n, (zones, vms), 1)));
+        fleet.network.platform.set_vms(listed.collect());
+        for number in 0..total {
+            fleet.run(number, (zones, vms), &[]);
+        }
+        fleet
+    }
+
+    pub(crate) fn run(&mut self, number: usize, shape: (usize, usize), seeds: &[SocketAddr]) {
+        self.starts += 1;
+        let vm = Self::entry_vm(number, shape, self.starts);
+        let address = vm.addresses.peers;
+        let (zone, region) = (vm.zone.to_string(), vm.region.to_string());
+        let platform = FakePlatform::view(&self.network, &zone);
+        let ports = EntryPorts {
+            clock: Arc::new(SystemClock),
+            meter: Arc::new(NoMeter),
+            peers: Arc::new(FakePeers::new(&self.network, &vm.name, zone, region)),
+            platform: Arc::new(GuardedPlatform::new(platform, Arc::new(NoMeter), vm.name.as_str())),
+            targets: Arc::new(NoTargets),
+            tracer: Arc::new(NoTracer),
+        };
+        let (life, state) = Vm::join();
+        let node = Arc::new(EntryNode::new(vm, ports, state, Logger::root(Discard, o!())));
+        node.set_seeds(seeds.iter().copied());
+        self.network.nodes.lock().unwrap().insert(address, Arc::clone(&node));
+        let stop = Arc::new(Notify::new());
+        let (n, s) = (Arc::clone(&node), Arc::clone(&stop));
+        let network = Arc::clone(&self.network);
+        let task = tokio::spawn(async move {
+            run_entry(Arc::clone(&n), life, async move { s.notified().await }).await;
+            network.nodes.lock().unwrap().retain(|_, held| !Arc::ptr_eq(held, &n));
+        });
+        self.vms.insert(number, Running { node, stop, task });
+    }
+
+    /// Ends a VM at once.
+    pub(crate) fn kill(&mut self, number: usize) -> Arc<EntryNode> {
+        let vm = self.vms.remove(&number).unwrap();
+        vm.task.abort();
+        self.network.nodes.lock().unwrap().remove(&vm.node.vm().addresses.peers);
+        vm.node
+    }
+
+    pub(crate) fn node(&self, number: usize) -> &Arc<EntryNode> {
+        &self.vms[&number].node
+    }
+
+    /// The time until something holds at all VMs; `None` where it takes over ten seconds.
+    pub(crate) async fn until(&self, holds: impl Fn(&EntryNode) -> bool) -> Option<Duration> {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(10) {
+            if self.vms.values().all(|vm| holds(&vm.node)) {
+                return Some(start.elapsed());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// The time until all serve and know all.
+    pub(crate) async fn until_joined(&self) -> Option<Duration> {
+        let total = self.vms.len();
+        self.until(|n| n.state() == VmState::Serving && serving_peers(n).len() == total - 1).await
+    }
+
+    /// Changes the fleet's settings and gives the new version.
+    pub(crate) fn change(&self, step: u64) -> u64 {
+        self.network.platform.put("settings/fleet", &fleet_text(step))
+    }
+}
+
+pub(crate) fn serving_peers(node: &EntryNode) -> Vec<String> {
+    let peers = node.peers().into_iter().filter(|p| p.state.accepts_work());
+    peers.map(|p| p.vm.name.to_string()).collect()
+}
+
+pub(crate) fn version(node: &EntryNode) -> u64 {
+    node.with_tree(|tree| tree.version(&SettingsPath::Fleet)).unwrap_or_default()
+}
+
+pub(crate) fn fleet_text(step: u64) -> String {
+    format!(
+        r#"{{ "fleet": "test", "members": {{ "m{step}": {{ "weight": 1 }} }},
+            "regions": {{ "region-0": {{ "delay_ms": 5, "zones": ["zone-0"] }} }} }}"#
+    )
+}
+
+pub(crate) fn to_listed(vm: &EntryVm) -> PlatformVm {
+    PlatformVm {
+        address: vm.addresses.peers,
+        kind: VmKindTag::Entry,
+        leaving: false,
+        name: vm.name.as_str().into(),
+        zone: vm.zone.clone(),
+    }
+}
+
+/// A time as a table shows it, rounded up to a tenth of a second.
+pub(crate) fn shown(time: Option<Duration>) -> String {
+    time.map_or("never".to_owned(), |t| format!("{:.1} s", (t.as_secs_f64() * 10.0).ceil() / 10.0))
+}
--- /dev/null
+++ b/crates/steer/tests/membership_spread.rs
@@ -0,0 +1,51 @@
+//! How fast a fleet learns of joins, changes, drains and losses, by its shape.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use fleet::{Fleet, serving_peers, shown, version};
+use std::{fmt::Write, time::Duration};
+use tokio::time::sleep;
+
+const SETTINGS_BOUND: Duration = Duration::from_secs(2);
+const GONE_BOUND: Duration = Duration::from_secs(2);
+const DRAIN_BOUND: Duration = Duration::from_secs(1);
+
+#[tokio::test(start_paused = true)]
+async fn fleets_of_all_shapes_learn_within_the_bounds() {
+    let mut table = String::new();
+    let mut within = true;
+    writeln!(table, "regions zones vms | joined | settings | drained | gone | talks at most")
+        .unwrap();
+    for (regions, zones, vms) in [(1, 1, 2), (3, 2, 1), (3, 2, 2), (4, 3, 4), (1, 2, 25)] {
+        let mut fleet = Fleet::start(regions, zones, vms).await;
+        let joined = fleet.until_joined().await;
+        sleep(Duration::from_secs(3)).await;
+        let new = fleet.change(1);
+        let settings = fleet.until(|n| version(n) == new).await;
+        let talks = fleet.vms.values().map(|vm| vm.node.plan().periods.len()).max();
+        let leaving = fleet.vms.remove(&0).unwrap();
+        let name = leaving.node.vm().name.to_string();
+        leaving.stop.notify_one();
+        let drained = fleet.until(|n| !serving_peers(n).contains(&name)).await;
+        sleep(Duration::from_secs(3)).await;
+        let name = fleet.kill(1).vm().name.to_string();
+        let gone = fleet.until(|n| !serving_peers(n).contains(&name)).await;
+        writeln!(
+            table,
+            "{regions:>7} {zones:>5} {vms:>3} | {:>6} | {:>8} | {:>7} | {} | {}",
+            shown(joined),
+            shown(settings),
+            shown(drained),
+            shown(gone),
+            talks.unwrap()
+        )
+        .unwrap();
+        within &= settings.is_some_and(|t| t <= SETTINGS_BOUND);
+        within &= drained.is_some_and(|t| t <= DRAIN_BOUND);
+        within &= gone.is_some_and(|t| t <= GONE_BOUND);
+    }
+    assert!(within, "{table}");
+    insta::assert_snapshot!(table);
+}
