--- a/crates/adapters/src/callers/caller_front.rs
+++ b/crates/adapters/src/callers/caller_front.rs
@@ -45,7 +45,12 @@
     }
 }
 
-fn answer_lookup(node: &EntryNode, request: &Request<Body>, caller: SocketAddr) -> Response<Body> {
+/// Answers a look-up, for the caller's own block where the query names none.
+pub(crate) fn answer_lookup(
+    node: &EntryNode,
+    request: &Request<Body>,
+    caller: SocketAddr,
+) -> Response<Body> {
     let query = request.uri().query().unwrap_or_default();
     let asked = query.split('&').find_map(|pair| pair.strip_prefix("block="));
     let block = match asked.map(|text| text.replace("%2F", "/").parse::<ClientBlock>()) {
--- a/crates/adapters/src/operators/mod.rs
+++ b/crates/adapters/src/operators/mod.rs
@@ -1,6 +1,13 @@
-//! What operators see.
+//! What operators see: status, explanations and a page that shows them.
 
+mod explain_view;
+mod operator_client;
 mod operator_front;
 mod status_view;
 
-pub use self::{operator_front::answer_operator, status_view::StatusView};
+pub use self::{
+    explain_view::{ExplainView, ExplainedClass, ExplainedShift, ExplainedVm, ExplainedZone},
+    operator_client::{OperatorClient, OperatorError},
+    operator_front::answer_operator,
+    status_view::{ProblemsView, RoomView, ShareView, ShiftView, StatusView, VmView},
+};
--- /dev/null
+++ b/crates/adapters/src/operators/operator_client.rs
@@ -0,0 +1,86 @@
+//! Reads from an entry VM's port for operators.
+
+use crate::ConnectionPool;
+use displaydoc::Display;
+use http::{HeaderValue, Request, Uri, header::HOST};
+use http_body_util::{BodyExt, Limited};
+use serde::de::DeserializeOwned;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use steer::empty_body;
+use tokio::time::timeout;
+
+/// Why an operator's request got no answer.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum OperatorError {
+    /// the entry VM's answer can't be read: {0}
+    Invalid(String),
+    /// {0}
+    Refused(String),
+    /// the entry VM at {address} can't be reached: {reason}
+    Unreachable {
+        /// Where it should answer operators.
+        address: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl std::error::Error for OperatorError {}
+
+/// Reads from an entry VM's port for operators.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    address: SocketAddr,
+    pool: Arc<ConnectionPool>,
+}
+
+impl OperatorClient {
+    /// Longest wait for an answer.
+    pub const ANSWER_WAIT: Duration = Duration::from_secs(3);
+    /// Largest answer in bytes.
+    const ANSWER_LIMIT: usize = 64 << 20;
+
+    /// Makes a client of one entry VM.
+    ///
+    /// ```
+    /// use adapters::{ConnectionPool, OperatorClient};
+    /// let client = OperatorClient::new("127.0.0.1:8082".parse().unwrap(), ConnectionPool::new());
+    /// assert!(format!("{client:?}").contains("8082"));
+    /// ```
+    pub fn new(address: SocketAddr, pool: Arc<ConnectionPool>) -> Self {
+        Self { address, pool }
+    }
+
+    /// Reads a path with its query.
+    ///
+    /// # Errors
+    ///
+    /// Where the entry VM can't be reached, refuses, or answers something else.
+    pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, OperatorError> {
+        let unreachable =
+            |reason: String| OperatorError::Unreachable { address: self.address, reason };
+        timeout(Self::ANSWER_WAIT, self.exchange(path))
+            .await
+            .map_err(|_| unreachable("no answer in time".to_owned()))?
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, path: &str) -> Result<T, OperatorError> {
+        let invalid = |reason: String| OperatorError::Invalid(reason);
+        let mut request = Request::new(empty_body());
+        *request.uri_mut() = Uri::try_from(path).map_err(|e| invalid(e.to_string()))?;
+        let host = HeaderValue::try_from(self.address.to_string());
+        request.headers_mut().insert(HOST, host.map_err(|e| invalid(e.to_string()))?);
+        let response = self.pool.send(self.address, request).await.map_err(|e| {
+            OperatorError::Unreachable { address: self.address, reason: e.to_string() }
+        })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, Self::ANSWER_LIMIT).collect().await;
+        let bytes = body.map_err(|e| invalid(e.to_string()))?.to_bytes();
+        if head.status.is_success() {
+            return serde_json::from_slice(&bytes).map_err(|e| invalid(e.to_string()));
+        }
+        let detail = serde_json::from_slice::<serde_json::Value>(&bytes).ok();
+        let detail = detail.as_ref().and_then(|d| d.get("detail")?.as_str());
+        Err(OperatorError::Refused(detail.map_or_else(|| head.status.to_string(), str::to_owned)))
+    }
+}
--- a/crates/adapters/src/operators/operator_front.rs
+++ b/crates/adapters/src/operators/operator_front.rs
@@ -1,34 +1,94 @@
 //! Answers operators.
 
-use super::StatusView;
-use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
-use std::sync::Arc;
-use steer::{Body, EntryNode, empty_body, full_body};
+use super::{ExplainView, StatusView};
+use crate::callers::{LOOKUP_PATH, answer_lookup};
+use http::{
+    HeaderValue, Method, Request, Response, StatusCode,
+    header::{ALLOW, CACHE_CONTROL, CONTENT_SECURITY_POLICY, CONTENT_TYPE},
+};
+use serde_json::json;
+use std::{net::SocketAddr, sync::Arc};
+use steer::{Body, EntryNode, ExplainError, ExplainQuery, full_body};
 
-/// Answers an operator's request.
-pub async fn answer_operator(node: Arc<EntryNode>, request: Request<Body>) -> Response<Body> {
+/// The page that shows the status.
+const PAGE: &str = include_str!("status.html");
+/// Keeps the page from loading anything from elsewhere.
+const PAGE_POLICY: &str = "default-src 'none'; connect-src 'self'; script-src 'unsafe-inline'; \
+    style-src 'unsafe-inline'; base-uri 'none'; form-action 'none'";
+
+/// Answers an operator's request: all are reads.
+pub async fn answer_operator(
+    node: Arc<EntryNode>,
+    request: Request<Body>,
+    operator: SocketAddr,
+) -> Response<Body> {
+    if request.method() != Method::GET && request.method() != Method::HEAD {
+        let mut response = refuse(StatusCode::METHOD_NOT_ALLOWED, "operators read with GET");
+        response.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, HEAD"));
+        return response;
+    }
     match request.uri().path() {
-        "/status" => json_response(&StatusView::new(&node)),
-        _ => {
-            let mut response = Response::new(empty_body());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
-        }
+        "/" => answer_page(),
+        "/explain" => answer_explain(&node, request.uri().query().unwrap_or_default()),
+        "/status" => json_response(StatusCode::OK, &StatusView::new(&node)),
+        LOOKUP_PATH => answer_lookup(&node, &request, operator),
+        path => refuse(StatusCode::NOT_FOUND, &format!("nothing at {path}; see /status")),
     }
 }
 
-fn json_response(value: &impl serde::Serialize) -> Response<Body> {
-    match serde_json::to_string_pretty(value) {
-        Ok(text) => {
-            let mut response = Response::new(full_body(text));
-            let json = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(CONTENT_TYPE, json);
-            response
-        }
-        Err(_) => {
-            let mut response = Response::new(empty_body());
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            response
+fn answer_page() -> Response<Body> {
+    let mut response = Response::new(full_body(PAGE));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/html; charset=utf-8"));
+    headers.insert(CONTENT_SECURITY_POLICY, HeaderValue::from_static(PAGE_POLICY));
+    response
+}
+
+fn answer_explain(node: &EntryNode, query: &str) -> Response<Body> {
+    let query = match read_query(query) {
+        Ok(query) => query,
+        Err(reason) => return refuse(StatusCode::BAD_REQUEST, &reason),
+    };
+    match node.explain(&query) {
+        Ok(explanation) => json_response(StatusCode::OK, &ExplainView::from(&explanation)),
+        Err(error @ ExplainError::NoSettings) => {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
         }
+        Err(error) => refuse(StatusCode::NOT_FOUND, &error.to_string()),
     }
 }
+
+/// Reads `service=NAME&block=CIDR&class=NAME`; the class may be left out.
+fn read_query(query: &str) -> Result<ExplainQuery, String> {
+    let value = |name: &str| {
+        let pair = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        pair.map(|text| text.replace("%2F", "/").replace("%3A", ":"))
+    };
+    let block = value("block").ok_or("the query lacks block=CIDR")?;
+    let service = value("service").ok_or("the query lacks service=NAME")?;
+    let parsed = block.parse().map_err(|_| format!("`{block}` is not a block such as 10.1.0.0/16"));
+    Ok(ExplainQuery {
+        block: parsed?,
+        class: value("class").map(Into::into),
+        service: service.into(),
+    })
+}
+
+fn refuse(status: StatusCode, detail: &str) -> Response<Body> {
+    let title = status.canonical_reason().unwrap_or_default();
+    let body = json!({ "detail": detail, "status": status.as_u16(), "title": title });
+    let mut response = json_response(status, &body);
+    let problem = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(CONTENT_TYPE, problem);
+    response
+}
+
+fn json_response(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_string_pretty(value).expect("views have text keys only");
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
--- a/crates/adapters/src/operators/status_view.rs
+++ b/crates/adapters/src/operators/status_view.rs
@@ -1,69 +1,235 @@
 //! The status of an entry VM.
 
-use serde::Serialize;
-use std::collections::BTreeMap;
-use steer::{EntryNode, PoolRoom};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+use steer::{
+    DrainSettings, EntryNode, Maintenance, PeerRecord, PoolKey, Problem, SettingsPath,
+    ShiftSettings, Snapshot,
+};
+use tokio::time::Instant;
 
 /// A VM as `status` shows it.
-#[derive(Debug, Serialize)]
-struct VmView {
-    state: String,
-    zone: String,
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct VmView {
+    /// Whether it has the same settings in force as the answering VM.
+    pub current: bool,
+    /// Digest of its settings in force.
+    pub digest: String,
+    /// Time since it was heard of, in milliseconds; 0 for the answering VM.
+    pub heard_ms: u64,
+    /// Where it answers operators.
+    pub operators: SocketAddr,
+    /// Its region.
+    pub region: String,
+    /// State of its life cycle.
+    pub state: String,
+    /// Its availability zone.
+    pub zone: String,
 }
 
-/// A pool as `status` shows it.
-#[derive(Debug, Serialize)]
-struct RoomView {
-    free: u32,
-    owner: String,
-    queued: u32,
-    slots: u32,
+/// A pool with its owner's count.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RoomView {
+    /// Slots that are free.
+    pub free: u32,
+    /// Time since the room was heard of, in milliseconds.
+    pub heard_ms: u64,
+    /// Entry VM that owns the pool.
+    pub owner: String,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Region of the targets.
+    pub region: String,
+    /// Service of the targets.
+    pub service: String,
+    /// All slots of targets in service.
+    pub slots: u32,
+    /// Availability zone of the targets.
+    pub zone: String,
 }
 
-/// A settings document that was refused.
-#[derive(Debug, Serialize)]
-struct RefusedView {
-    problems: Vec<String>,
-    version: u64,
+/// Problems of one version of a settings document.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ProblemsView {
+    /// Line, column, path and reason of each.
+    pub problems: Vec<String>,
+    /// The version.
+    pub version: u64,
+}
+
+impl ProblemsView {
+    fn new(version: u64, problems: &[Problem]) -> Self {
+        Self { problems: problems.iter().map(ToString::to_string).collect(), version }
+    }
+}
+
+/// A traffic shift and how far it is.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ShiftView {
+    /// Share that the ramp moves by now, from 0 to 1.
+    pub now: f64,
+    /// The shift as set.
+    #[serde(flatten)]
+    pub set: ShiftSettings,
+}
+
+/// A share of a home region's traffic.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ShareView {
+    /// Home region of the traffic.
+    pub home: String,
+    /// Region that serves the share.
+    pub region: String,
+    /// Service.
+    pub service: String,
+    /// The share, from 0 to 1.
+    pub share: f64,
 }
 
 /// The status of an entry VM and what it knows about its peers.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StatusView {
-    refused: BTreeMap<String, RefusedView>,
-    room: BTreeMap<String, RoomView>,
-    under_way: usize,
-    versions: BTreeMap<String, u64>,
-    vm: String,
-    vms: BTreeMap<String, VmView>,
+    /// Digest of the settings in force.
+    pub digest: String,
+    /// What is drained now, open maintenance windows included.
+    pub drains: Vec<DrainSettings>,
+    /// Name of the fleet.
+    pub fleet: String,
+    /// Documents in force of which a part is left out, by path.
+    pub limited: BTreeMap<String, ProblemsView>,
+    /// Planned drains.
+    pub maintenance: Vec<Maintenance>,
+    /// Refused versions, by path.
+    pub refused: BTreeMap<String, ProblemsView>,
+    /// Availability zones of each region.
+    pub regions: BTreeMap<String, BTreeSet<String>>,
+    /// Room of each pool that has an owner.
+    pub room: Vec<RoomView>,
+    /// Shares of home regions' traffic.
+    pub shares: Vec<ShareView>,
+    /// Traffic shifts.
+    pub shifts: Vec<ShiftView>,
+    /// Requests under way at the answering VM.
+    pub under_way: usize,
+    /// Versions in force, by path.
+    pub versions: BTreeMap<String, u64>,
+    /// The answering VM.
+    pub vm: String,
+    /// Entry VMs, the answering one included.
+    pub vms: BTreeMap<String, VmView>,
+    /// Versions that wait for the fleet's document or for a change of another, by path.
+    pub waiting: BTreeMap<String, u64>,
 }
 
 impl StatusView {
     /// Reads the status.
     pub fn new(node: &EntryNode) -> Self {
-        let own = node.heartbeat();
-        let mut vms = BTreeMap::new();
-        let mut room = BTreeMap::new();
-        let peers = node.peers();
-        let beats = peers.iter().map(|p| (&p.vm, p.state, &p.room));
-        for (vm, state, pools) in beats.chain([(&own.vm, own.state, &own.room)]) {
-            let view = VmView { state: state.to_string(), zone: vm.zone.to_string() };
-            vms.insert(vm.name.to_string(), view);
-            for (key, pool) in pools {
-                let PoolRoom { free, queued, slots } = *pool;
-                let owner = vm.name.to_string();
-                room.insert(format!("{key} by {owner}"), RoomView { free, owner, queued, slots });
-            }
-        }
-        let (versions, refused) = node.with_tree(|tree| {
-            let versions = tree.versions().map(|(path, v)| (path.to_string(), v)).collect();
-            let refused = tree.refused().map(|(path, version, problems)| {
-                let problems = problems.iter().map(ToString::to_string).collect();
-                (path.to_string(), RefusedView { problems, version })
-            });
-            (versions, refused.collect())
+        let snapshot = node.snapshot();
+        let now = node.ports().clock.now();
+        let (refused, limited, versions, waiting) = node.with_tree(|tree| {
+            let to_text = |(path, version): (&SettingsPath, u64)| (path.to_string(), version);
+            let refused = tree.refused().map(|(p, v, list)| (p.to_string(), v, list.to_vec()));
+            let refused: Vec<_> = refused.collect();
+            let limited = tree.limited().into_iter().map(|(p, v, list)| (p.to_string(), v, list));
+            (
+                to_problems(refused),
+                to_problems(limited),
+                tree.versions().map(to_text).collect(),
+                tree.waiting().map(to_text).collect(),
+            )
         });
-        let under_way = node.work().len();
-        Self { refused, room, under_way, versions, vm: own.vm.name.to_string(), vms }
+        let shift = |set: &ShiftSettings| ShiftView { now: set.share_at(now), set: set.clone() };
+        let mut regions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for (zone, region) in snapshot.zones() {
+            regions.entry(region.to_string()).or_default().insert(zone.to_string());
+        }
+        Self {
+            digest: to_hex(node.heartbeat().digest),
+            drains: snapshot.drains(now).cloned().collect(),
+            fleet: node.vm().fleet.to_string(),
+            limited,
+            maintenance: snapshot.maintenance().to_vec(),
+            refused,
+            regions,
+            room: read_room(node, &snapshot),
+            shares: read_shares(&snapshot),
+            shifts: snapshot.shifts().iter().map(shift).collect(),
+            under_way: node.work().len(),
+            versions,
+            vm: node.vm().name.to_string(),
+            vms: read_vms(node),
+            waiting,
+        }
+    }
+}
+
+fn to_problems(
+    list: impl IntoIterator<Item = (String, u64, Vec<Problem>)>,
+) -> BTreeMap<String, ProblemsView> {
+    list.into_iter()
+        .map(|(path, version, problems)| (path, ProblemsView::new(version, &problems)))
+        .collect()
+}
+
+fn to_hex(digest: u64) -> String {
+    format!("{digest:016x}")
+}
+
+pub(super) fn to_millis(age: Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn read_vms(node: &EntryNode) -> BTreeMap<String, VmView> {
+    let own = node.heartbeat();
+    let now = Instant::now();
+    let digest = own.digest;
+    let heard = now;
+    let own = PeerRecord { digest, heard, room: own.room, state: own.state, vm: own.vm };
+    let all = node.peers().into_iter().chain([own]);
+    let view = |peer: &PeerRecord| VmView {
+        current: peer.digest == digest,
+        digest: to_hex(peer.digest),
+        heard_ms: to_millis(now.saturating_duration_since(peer.heard)),
+        operators: peer.vm.addresses.operators,
+        region: peer.vm.region.to_string(),
+        state: peer.state.to_string(),
+        zone: peer.vm.zone.to_string(),
+    };
+    all.map(|peer| (peer.vm.name.to_string(), view(&peer))).collect()
+}
+
+fn read_room(node: &EntryNode, snapshot: &Snapshot) -> Vec<RoomView> {
+    let region = |key: &PoolKey| snapshot.region_of(&key.zone).map(ToString::to_string);
+    node.known_pools()
+        .into_iter()
+        .map(|(key, pool)| RoomView {
+            free: pool.room.free,
+            heard_ms: to_millis(pool.age),
+            owner: pool.owner.to_string(),
+            queued: pool.room.queued,
+            region: region(&key).unwrap_or_default(),
+            service: key.service.to_string(),
+            slots: pool.room.slots,
+            zone: key.zone.to_string(),
+        })
+        .collect()
+}
+
+fn read_shares(snapshot: &Snapshot) -> Vec<ShareView> {
+    let mut shares = Vec::new();
+    for service in snapshot.services() {
+        for (home, parts) in &service.settings.shares {
+            shares.extend(parts.iter().map(|(region, share)| ShareView {
+                home: home.to_string(),
+                region: region.to_string(),
+                service: service.name.to_string(),
+                share: *share,
+            }));
+        }
     }
+    shares
 }
--- a/crates/adapters/src/telemetry/log_format.rs
+++ b/crates/adapters/src/telemetry/log_format.rs
@@ -1,11 +1,12 @@
 //! The log of a process.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use slog::{Drain, Level, Logger, o};
 use std::io;
 
 /// How log lines are written.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogFormat {
     /// One JSON object a line.
--- a/crates/adapters/src/telemetry/otel_tracer.rs
+++ b/crates/adapters/src/telemetry/otel_tracer.rs
@@ -17,12 +17,13 @@
         span_processor_with_async_runtime::BatchSpanProcessor,
     },
 };
+use schemars::JsonSchema;
 use serde::Deserialize;
 use std::{io, path::PathBuf};
 use steer::{Span, TraceContext, Tracer};
 
 /// Where spans go.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum TraceOutput {
     /// One JSON object a line is added to a file.
--- a/crates/lab/tests/examples.rs
+++ b/crates/lab/tests/examples.rs
@@ -48,7 +48,7 @@
         match u8::arbitrary(g) % 4 {
             0 => text.replace_range(start..end, ""),
             1 => text.insert_str(start, g.choose(&PIECES).unwrap()),
-            2 => text.insert_str(start, &text[start..end].to_owned()),
+            2 => text = format!("{}{}", &text[..end], &text[start..]),
             _ => text.replace_range(start..end, &char::arbitrary(g).to_string()),
         }
     }
--- a/crates/ragwortswitch/src/command_line.rs
+++ b/crates/ragwortswitch/src/command_line.rs
@@ -1,59 +1,112 @@
 //! The command line.
 
-use lexopt::{Arg, Error, Parser, ValueExt};
-use std::{ffi::OsString, path::PathBuf};
+use crate::{
+    arguments::{Common, Usage},
+    commands::{
+        CheckOptions, EntryOptions, ExplainOptions, LookupOptions, SettingsOptions, StatusOptions,
+    },
+    report::Report,
+};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{error::Error, ffi::OsString};
 
 /// Text of `ragwortswitch --help`.
-pub(crate) const HELP: &str = "\
+const HELP: &str = "\
 Steers requests to the regions, availability zones and targets that have room.
 
-Usage: ragwortswitch COMMAND
+Usage: ragwortswitch COMMAND [OPTIONS]
 
 Commands:
-  entry FILE    Run an entry VM from the process settings in FILE
+  check      Check settings files, or write their JSON Schema
+  entry      Run an entry VM
+  explain    Explain where a request would go, and why
+  lookup     Show which entry VMs a block of clients uses
+  settings   Read and write steering settings
+  status     Show what an entry VM knows
 
 Options:
-  --help        Show this text
-  --threads N   Worker threads (default 2)
-  --version     Show the version
-";
+  --help     Show this text; after a command, its own
+  --version  Show the version
 
-/// Worker threads where the command line names none.
-const DEFAULT_THREADS: usize = 2;
+Exit codes: 0 done, 1 failed, 2 misused.
+";
 
 /// A command with its arguments.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 pub(crate) enum Command {
-    Entry { settings: PathBuf },
-    Help,
-    Version,
-}
-
-/// The parsed command line.
-#[derive(Debug, PartialEq)]
-pub(crate) struct CommandLine {
-    pub(crate) command: Command,
-    pub(crate) threads: usize,
+    /// Checks files.
+    Check(CheckOptions),
+    /// Runs an entry VM.
+    Entry(EntryOptions),
+    /// Explains a request's way.
+    Explain(ExplainOptions),
+    /// Shows a look-up.
+    Lookup(LookupOptions),
+    /// Reads and writes settings.
+    Settings(SettingsOptions),
+    /// Shows the status.
+    Status(StatusOptions),
 }
 
-impl CommandLine {
+impl Command {
     /// Reads arguments, the program's name first.
-    pub(crate) fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Self, Error> {
+    pub(crate) fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Self, Usage> {
         let mut parser = Parser::from_iter(args);
-        let mut command = None;
-        let mut threads = DEFAULT_THREADS;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Long("help") | Arg::Short('h') => command = Some(Command::Help),
-                Arg::Long("threads") => threads = parser.value()?.parse()?,
-                Arg::Long("version") => command = Some(Command::Version),
-                Arg::Value(name) if name == "entry" => {
-                    command = Some(Command::Entry { settings: parser.value()?.into() });
-                }
-                other => return Err(other.unexpected()),
+        let name = match parser.next()? {
+            None => return Err("a command is missing".into()),
+            Some(Arg::Long("help") | Arg::Short('h')) => return Err(Usage::Help(HELP)),
+            Some(Arg::Long("version")) => return Err(Usage::Version),
+            Some(Arg::Value(name)) => name.string()?,
+            Some(other) => return Err(other.unexpected().into()),
+        };
+        let parser = &mut parser;
+        match name.as_str() {
+            "check" => CheckOptions::parse(parser).map(Self::Check),
+            "entry" => EntryOptions::parse(parser).map(Self::Entry),
+            "explain" => ExplainOptions::parse(parser).map(Self::Explain),
+            "lookup" => LookupOptions::parse(parser).map(Self::Lookup),
+            "settings" => SettingsOptions::parse(parser).map(Self::Settings),
+            "status" => StatusOptions::parse(parser).map(Self::Status),
+            _ => {
+                let known = ["check", "entry", "explain", "lookup", "settings", "status"];
+                let near = steer::nearest_name(&name, known);
+                Err(Usage::Misused(format!("no command `{name}`; {near}").into()))
+            }
+        }
+    }
+
+    /// Options that commands with a report have in common.
+    pub(crate) fn common(&self) -> Option<&Common> {
+        match self {
+            Self::Check(options) => Some(&options.common),
+            Self::Entry(_) => None,
+            Self::Explain(options) => Some(&options.common),
+            Self::Lookup(options) => Some(&options.common),
+            Self::Settings(options) => Some(&options.common),
+            Self::Status(options) => Some(&options.common),
+        }
+    }
+
+    /// Runs a command that ends with a report; the entry VM's is empty.
+    pub(crate) async fn run(&self, wrap: crate::WrapPeers) -> Result<Report, Box<dyn Error>> {
+        match self {
+            Self::Check(options) => options.run(),
+            Self::Entry(options) => {
+                crate::commands::run_entry_vm(&options.settings, wrap).await?;
+                Ok(Report::default())
             }
+            Self::Explain(options) => options.run().await,
+            Self::Lookup(options) => options.run().await,
+            Self::Settings(options) => options.run().await,
+            Self::Status(options) => options.run().await,
+        }
+    }
+
+    /// Worker threads.
+    pub(crate) fn threads(&self) -> usize {
+        match self {
+            Self::Entry(options) => options.threads,
+            _ => 1,
         }
-        let command = command.ok_or("a command is missing")?;
-        Ok(Self { command, threads })
     }
 }
--- a/crates/ragwortswitch/src/commands/mod.rs
+++ b/crates/ragwortswitch/src/commands/mod.rs
@@ -1,6 +1,20 @@
 //! The commands, one file each.
 
+mod check;
+mod explain;
+mod lookup;
+mod put_settings;
 mod run_entry_vm;
+mod settings;
+mod status;
 
 pub use self::run_entry_vm::WrapPeers;
-pub(crate) use self::run_entry_vm::run_entry_vm;
+pub(crate) use self::{
+    check::{CheckOptions, problem_json},
+    explain::ExplainOptions,
+    lookup::LookupOptions,
+    put_settings::{PutOptions, put_settings},
+    run_entry_vm::{EntryOptions, run_entry_vm},
+    settings::SettingsOptions,
+    status::StatusOptions,
+};
--- a/crates/ragwortswitch/src/commands/run_entry_vm.rs
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -1,12 +1,22 @@
 //! `ragwortswitch entry`: wires the adapters to the flows.
 
-use crate::process_settings::ProcessSettings;
+use crate::{
+    arguments::{Argument, Common, Usage, unexpected_value, unknown_option},
+    process_settings::ProcessSettings,
+};
 use adapters::{
     ConnectionPool, HttpPlatform, HttpTargets, Listener, ListenerLimits, OtelTracer, RpcPeers,
     StatsdMeter, answer_caller, answer_hand_off, answer_operator, open_log, serve_peers,
 };
+use lexopt::{Parser, ValueExt};
 use slog::{Level, info};
-use std::{error::Error, path::Path, str::FromStr, sync::Arc, time::SystemTime};
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+    str::FromStr,
+    sync::Arc,
+    time::SystemTime,
+};
 use steer::{
     EntryNode, EntryPorts, Meter, NoMeter, NoTracer, Peers, SystemClock, Tracer, Vm, run_entry,
 };
@@ -15,6 +25,49 @@
 /// Puts an adapter around the port towards peers.
 pub type WrapPeers = fn(Arc<dyn Peers>) -> Arc<dyn Peers>;
 
+const HELP: &str = "\
+Runs an entry VM until SIGTERM or SIGINT, then drains it: running requests finish.
+
+Usage: ragwortswitch entry FILE [OPTIONS]
+
+FILE holds process settings: who the VM is, where it listens and where the platform
+is. Check it with `ragwortswitch check FILE`.
+
+Options:
+  --threads N   Worker threads (default 2)
+";
+
+/// Worker threads where the command line names none.
+const DEFAULT_THREADS: usize = 2;
+
+/// Options of the command.
+#[derive(Debug)]
+pub(crate) struct EntryOptions {
+    pub(crate) settings: PathBuf,
+    pub(crate) threads: usize,
+}
+
+impl EntryOptions {
+    pub(crate) fn parse(parser: &mut Parser) -> Result<Self, Usage> {
+        let mut common = Common::default();
+        let (mut settings, mut threads) = (None, DEFAULT_THREADS);
+        while let Some(argument) = common.next(parser, HELP)? {
+            match argument {
+                Argument::Option(name) if name == "threads" => {
+                    threads = parser.value()?.parse()?;
+                }
+                Argument::Option(name) => return Err(unknown_option(&name)),
+                Argument::Value(file) if settings.is_none() => settings = Some(file.into()),
+                Argument::Value(value) => return Err(unexpected_value(value)),
+            }
+        }
+        if threads == 0 {
+            return Err("--threads is 1 or more".into());
+        }
+        Ok(Self { settings: settings.ok_or("a file with process settings is missing")?, threads })
+    }
+}
+
 /// Runs an entry VM until SIGTERM or SIGINT, then drains it.
 ///
 /// `wrap` may put another adapter around the port towards peers, such as one that a test bench
@@ -65,7 +118,7 @@
     let n = Arc::clone(&node);
     tokio::spawn(handoff.serve(move |r, _| answer_hand_off(Arc::clone(&n), r)));
     let n = Arc::clone(&node);
-    tokio::spawn(operators.serve(move |r, _| answer_operator(Arc::clone(&n), r)));
+    tokio::spawn(operators.serve(move |r, peer| answer_operator(Arc::clone(&n), r, peer)));
     info!(log, "vm: listening"; "callers" => %settings.callers, "peers" => %settings.peers);
 
     run_entry(node, vm, stop_signal()?).await;
--- /dev/null
+++ b/crates/ragwortswitch/src/commands/status.rs
@@ -0,0 +1,187 @@
+//! `ragwortswitch status`: what an entry VM knows.
+
+use crate::{
+    arguments::{Argument, Common, Usage, unexpected_value, unknown_option},
+    report::Report,
+    text_table::{text_table, wrap_text},
+};
+use adapters::{ConnectionPool, OperatorClient, OperatorError, StatusView, VmView};
+use lexopt::Parser;
+use serde_json::json;
+use std::{collections::BTreeMap, error::Error, fmt::Write};
+use steer::DrainSettings;
+
+const HELP: &str = "\
+Shows what an entry VM knows: entry VMs, settings in force, refused documents, room,
+shares, shifts and drains.
+
+Usage: ragwortswitch status [OPTIONS]
+
+Options:
+  --all       Ask each entry VM which versions it has in force
+  --json      Output for programs
+  --vm ADDR   Address at which an entry VM answers operators (or RAGWORT_VM)
+";
+
+/// Versions in force at one VM, or why they aren't known.
+type Versions = Result<BTreeMap<String, u64>, OperatorError>;
+
+/// Options of the command.
+#[derive(Debug, Default)]
+pub(crate) struct StatusOptions {
+    all: bool,
+    pub(crate) common: Common,
+}
+
+impl StatusOptions {
+    pub(crate) fn parse(parser: &mut Parser) -> Result<Self, Usage> {
+        let mut options = Self::default();
+        while let Some(argument) = options.common.next(parser, HELP)? {
+            match argument {
+                Argument::Option(name) if name == "all" => options.all = true,
+                Argument::Option(name) => return Err(unknown_option(&name)),
+                Argument::Value(value) => return Err(unexpected_value(value)),
+            }
+        }
+        options.common.vm()?;
+        Ok(options)
+    }
+
+    pub(crate) async fn run(&self) -> Result<Report, Box<dyn Error>> {
+        let client = self.common.vm().map_err(|_| "no entry VM is named")?;
+        let status: StatusView = client.read("/status").await?;
+        let mut json = serde_json::to_value(&status)?;
+        let mut text = describe(&status);
+        if self.all {
+            let versions = ask_all(&status.vms).await;
+            text += &describe_versions(&versions);
+            let by_vm = versions.into_iter().map(|(vm, versions)| match versions {
+                Ok(versions) => (vm, json!({ "versions": versions })),
+                Err(error) => (vm, json!({ "error": error.to_string() })),
+            });
+            json["by_vm"] = by_vm.collect();
+        }
+        Ok(Report { failed: false, json, text })
+    }
+}
+
+/// Asks the VMs one after the other, so that the question is no load.
+async fn ask_all(vms: &BTreeMap<String, VmView>) -> BTreeMap<String, Versions> {
+    let pool = ConnectionPool::new();
+    let mut versions = BTreeMap::new();
+    for (name, vm) in vms {
+        let client = OperatorClient::new(vm.operators, pool.clone());
+        let status = client.read::<StatusView>("/status").await;
+        versions.insert(name.clone(), status.map(|status| status.versions));
+    }
+    versions
+}
+
+fn describe_versions(by_vm: &BTreeMap<String, Versions>) -> String {
+    let mut text = "\nVersions in force at each entry VM\n".to_owned();
+    for (vm, versions) in by_vm {
+        let line = match versions {
+            Ok(versions) => {
+                let list: Vec<String> =
+                    versions.iter().map(|(path, v)| format!("{path}@{v}")).collect();
+                format!("{vm}: {}", list.join(" "))
+            }
+            Err(error) => format!("{vm}: not known, {error}"),
+        };
+        text += &wrap_text(&line, "  ");
+    }
+    text
+}
+
+/// A heading with its table, or a line that says there is nothing.
+fn section(title: &str, head: &[&str], rows: &[Vec<String>]) -> String {
+    if rows.is_empty() {
+        return format!("\n{title}: none\n");
+    }
+    format!("\n{title}\n{}", text_table(head, rows))
+}
+
+/// An age in seconds.
+fn age(millis: u64) -> String {
+    format!("{:.1}", millis as f64 / 1e3)
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
+
+/// What is drained, in words.
+pub(crate) fn drain_text(drain: &DrainSettings) -> String {
+    match drain {
+        DrainSettings::EntryVm(name) => format!("entry VM {name}"),
+        DrainSettings::Region(name) => format!("region {name}"),
+        DrainSettings::Target(name) => format!("target {name}"),
+        DrainSettings::Zone(name) => format!("zone {name}"),
+    }
+}
+
+fn describe(status: &StatusView) -> String {
+    let mut text =
+        format!("Fleet {} as {} sees it, digest {}\n", status.fleet, status.vm, status.digest);
+    let vms = status.vms.iter().map(|(name, vm)| {
+        let settings = if vm.current { "same" } else { "differ" };
+        let cells = [name, &vm.region, &vm.zone, &vm.state, settings, &age(vm.heard_ms)];
+        cells.map(str::to_owned).to_vec()
+    });
+    let head = ["VM", "region", "zone", "state", "settings", "heard s"];
+    text += &section("Entry VMs", &head, &vms.collect::<Vec<_>>());
+    text += &describe_settings(status);
+    let room = status.room.iter().map(|r| {
+        let count = format!("{}/{}", r.free, r.slots);
+        let cells = [&r.service, &r.zone, &r.owner, &count, &r.queued.to_string()];
+        let mut cells = cells.map(ToString::to_string).to_vec();
+        cells.push(age(r.heard_ms));
+        cells
+    });
+    let head = ["service", "zone", "owner", "free", "queued", "heard s"];
+    text += &section("Room", &head, &room.collect::<Vec<_>>());
+    text += &describe_traffic(status);
+    text
+}
+
+fn describe_settings(status: &StatusView) -> String {
+    let rows = status.versions.iter().map(|(path, v)| vec![path.clone(), v.to_string()]);
+    let mut text = section("Settings in force", &["path", "version"], &rows.collect::<Vec<_>>());
+    for (what, list) in [("refused", &status.refused), ("limited", &status.limited)] {
+        for (path, view) in list {
+            let _ = writeln!(text, "{path} version {} is {what}:", view.version);
+            for problem in &view.problems {
+                text += &wrap_text(problem, "  ");
+            }
+        }
+    }
+    for (path, version) in &status.waiting {
+        let _ = writeln!(text, "{path} version {version} waits for a change of other settings");
+    }
+    text
+}
+
+fn describe_traffic(status: &StatusView) -> String {
+    let shares = status.shares.iter().map(|s| {
+        let cells = [&s.service, &s.home, &s.region, &percent(s.share)];
+        cells.map(ToString::to_string).to_vec()
+    });
+    let head = ["service", "home region", "served in", "share"];
+    let mut text = section("Shares", &head, &shares.collect::<Vec<_>>());
+    let shifts = status.shifts.iter().map(|shift| {
+        let set = &shift.set;
+        let (service, from, to) = (&set.service, &set.from, &set.to);
+        let cells = [service.to_string(), from.to_string(), to.to_string()];
+        let shares = [percent(shift.now), percent(set.share), set.cap.to_string()];
+        cells.into_iter().chain(shares).collect()
+    });
+    let head = ["service", "from", "to", "now", "end", "cap/s"];
+    text += &section("Shifts", &head, &shifts.collect::<Vec<_>>());
+    let drains = status.drains.iter().map(|drain| vec![drain_text(drain)]);
+    text += &section("Drains", &["what"], &drains.collect::<Vec<_>>());
+    let windows = status.maintenance.iter().map(|window| {
+        vec![drain_text(&window.drain), window.from.to_string(), window.until.to_string()]
+    });
+    text += &section("Maintenance", &["what", "from", "until"], &windows.collect::<Vec<_>>());
+    text
+}
--- a/crates/ragwortswitch/src/lib.rs
+++ b/crates/ragwortswitch/src/lib.rs
@@ -2,14 +2,23 @@
 //!
 //! `ragwortswitch entry` runs an entry VM, the other commands talk to one or to the platform.
 
+mod arguments;
 mod command_line;
 mod commands;
 mod process_settings;
+mod report;
+mod text_diff;
+mod text_table;
 
 pub use commands::WrapPeers;
 
-use command_line::{Command, CommandLine};
-use std::{ffi::OsString, process::ExitCode};
+use arguments::Usage;
+use command_line::Command;
+use std::{
+    ffi::OsString,
+    io::{self, Write},
+    process::ExitCode,
+};
 
 /// Exit code of a command that was understood and failed.
 const FAILED: u8 = 1;
@@ -18,15 +27,19 @@
 
 /// Runs a command from its arguments, the program's name first.
 pub fn run_command(args: impl IntoIterator<Item = OsString>, wrap: WrapPeers) -> ExitCode {
-    let line = match CommandLine::parse(args) {
-        Ok(line) => line,
-        Err(error) => {
+    let command = match Command::parse(args) {
+        Ok(command) => command,
+        Err(Usage::Help(text)) => return print(text),
+        Err(Usage::Misused(error)) => {
             eprintln!("ragwortswitch: {error}; see 'ragwortswitch --help'");
             return ExitCode::from(MISUSED);
         }
+        Err(Usage::Version) => {
+            return print(concat!("ragwortswitch ", env!("CARGO_PKG_VERSION"), "\n"));
+        }
     };
-    match run(line, wrap) {
-        Ok(()) => ExitCode::SUCCESS,
+    match run(&command, wrap) {
+        Ok(code) => code,
         Err(error) => {
             eprintln!("ragwortswitch: {error}");
             ExitCode::from(FAILED)
@@ -34,20 +47,21 @@
     }
 }
 
-fn run(line: CommandLine, wrap: WrapPeers) -> Result<(), Box<dyn std::error::Error>> {
+fn run(command: &Command, wrap: WrapPeers) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(line.threads)
+        .worker_threads(command.threads())
         .enable_all()
         .build()?;
-    match line.command {
-        Command::Entry { settings } => runtime.block_on(commands::run_entry_vm(&settings, wrap)),
-        Command::Help => {
-            print!("{}", command_line::HELP);
-            Ok(())
-        }
-        Command::Version => {
-            println!("ragwortswitch {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
+    let report = runtime.block_on(command.run(wrap))?;
+    let json = command.common().is_some_and(|common| common.json);
+    let code = print(&report.to_output(json && !report.json.is_null()));
+    Ok(if report.failed { ExitCode::from(FAILED) } else { code })
+}
+
+/// Writes to standard output; a reader that went away, such as `head`, is no failure.
+fn print(text: &str) -> ExitCode {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => ExitCode::from(FAILED),
+        _ => ExitCode::SUCCESS,
     }
 }
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -1,44 +1,65 @@
 //! The settings of one process.
 
 use adapters::{LogFormat, TraceOutput};
+use schemars::JsonSchema;
 use serde::Deserialize;
-use std::{fs, io, net::SocketAddr, path::Path};
-use steer::{AvailabilityZoneName, EntryVm, FleetName, RegionName, VmAddresses, VmName};
+use slog::Level;
+use std::{fs, io, net::SocketAddr, path::Path, str::FromStr};
+use steer::{
+    AvailabilityZoneName, EntryVm, FleetName, Place, Position, Problem, RegionName, VmAddresses,
+    VmName, parse_jsonc,
+};
 
 /// What an entry VM learns from its own file: who it is and where the platform is.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct ProcessSettings {
+    /// Address for requests and look-ups of callers.
     pub(crate) callers: SocketAddr,
+    /// Name of the fleet.
     pub(crate) fleet: FleetName,
+    /// Address for requests that peers hand over.
     pub(crate) handoff: SocketAddr,
+    /// The log.
     #[serde(default)]
     pub(crate) log: LogSettings,
+    /// Address of a statsd server.
     #[serde(default)]
     pub(crate) metrics: Option<SocketAddr>,
+    /// Name of this VM, its own in the fleet.
     pub(crate) name: VmName,
+    /// Address for operators.
     pub(crate) operators: SocketAddr,
+    /// Address for peers' messages.
     pub(crate) peers: SocketAddr,
+    /// Address of the platform.
     pub(crate) platform: SocketAddr,
+    /// Region of this VM.
     pub(crate) region: RegionName,
+    /// Traces; none without it.
     #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
+    /// Availability zone of this VM.
     pub(crate) zone: AvailabilityZoneName,
 }
 
 /// How the process logs.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct LogSettings {
+    /// How lines are written.
     pub(crate) format: LogFormat,
+    /// Least level that is kept: critical, error, warning, info, debug or trace.
     pub(crate) level: Option<String>,
 }
 
 /// Where spans go, and how many.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct TraceSettings {
+    /// Where spans go.
     pub(crate) output: TraceOutput,
+    /// Part of the traces that is kept, from 0 to 1, where the caller says nothing.
     #[serde(default)]
     pub(crate) ratio: f64,
 }
@@ -46,10 +67,56 @@
 impl ProcessSettings {
     /// Reads a file of JSON with comments.
     pub(crate) fn read(path: &Path) -> io::Result<Self> {
+        let file = path.display();
         let text = fs::read_to_string(path)
-            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", path.display())))?;
-        jsonc_parser::parse_to_serde_value(&text, &Default::default())
-            .map_err(|e| io::Error::other(format!("{}: {e}", path.display())))
+            .map_err(|e| io::Error::new(e.kind(), format!("{file}: {e}")))?;
+        Self::parse(&text).map_err(|problems| {
+            let lines: Vec<String> = problems.iter().map(|p| format!("{file}:{p}")).collect();
+            io::Error::other(lines.join("\n"))
+        })
+    }
+
+    /// Reads and checks a text of JSON with comments.
+    pub(crate) fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        let settings: Self = parse_jsonc(text)?;
+        let problem = |(place, reason): (Place, String)| {
+            Problem::new(place.to_string(), reason).at(Position::of_place(text, &place))
+        };
+        let problems: Vec<Problem> = settings.check().into_iter().map(problem).collect();
+        if problems.is_empty() { Ok(settings) } else { Err(problems) }
+    }
+
+    fn check(&self) -> Vec<(Place, String)> {
+        let mut found = Vec::new();
+        let listeners = [
+            ("callers", self.callers),
+            ("handoff", self.handoff),
+            ("operators", self.operators),
+            ("peers", self.peers),
+        ];
+        for (i, (key, address)) in listeners.iter().enumerate() {
+            let place = Place::root().key(*key);
+            if let Some((other, _)) = listeners[..i].iter().find(|(_, a)| a == address) {
+                let reason = format!("`{address}` is the address of `{other}` already");
+                found.push((place.clone(), reason));
+            }
+            if address.ip().is_unspecified() || address.port() == 0 {
+                let reason = format!("`{address}` can't be reached by others; name IP and port");
+                found.push((place, reason));
+            }
+        }
+        let level = self.log.level.as_deref().filter(|level| Level::from_str(level).is_err());
+        if let Some(level) = level {
+            let known = ["critical", "debug", "error", "info", "trace", "warning"];
+            let reason = format!("unknown level `{level}`; {}", steer::nearest_name(level, known));
+            found.push((Place::root().key("log").key("level"), reason));
+        }
+        let ratio = self.traces.as_ref().map_or(0.0, |traces| traces.ratio);
+        if !(0.0..=1.0).contains(&ratio) {
+            let reason = format!("{ratio} is out of range; expected from 0 to 1");
+            found.push((Place::root().key("traces").key("ratio"), reason));
+        }
+        found
     }
 
     /// Who this VM is; a later start has a higher incarnation.
--- /dev/null
+++ b/crates/ragwortswitch/src/text_diff.rs
@@ -0,0 +1,99 @@
+//! Differences between two texts, line by line.
+
+/// One line of a difference.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Change<'a> {
+    /// The line is in the new text alone.
+    Added(&'a str),
+    /// The line is in both texts.
+    Kept(&'a str),
+    /// The line is in the old text alone.
+    Removed(&'a str),
+}
+
+/// Most pairs of lines that are compared; beyond it a changed part is shown as a whole.
+const MAX_PAIRS: usize = 4_000_000;
+/// Lines shown around a change.
+const CONTEXT: usize = 2;
+
+/// Compares two texts by their longest common subsequence of lines.
+pub(crate) fn compare_texts<'a>(old: &'a str, new: &'a str) -> Vec<Change<'a>> {
+    let (old, new): (Vec<&str>, Vec<&str>) = (old.lines().collect(), new.lines().collect());
+    let head = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
+    let (old_rest, new_rest) = (&old[head..], &new[head..]);
+    let tail = old_rest.iter().rev().zip(new_rest.iter().rev()).take_while(|(a, b)| a == b).count();
+    let old_middle = &old_rest[..old_rest.len() - tail];
+    let new_middle = &new_rest[..new_rest.len() - tail];
+    let mut changes: Vec<Change<'a>> = old[..head].iter().map(|l| Change::Kept(l)).collect();
+    changes.extend(compare_lines(old_middle, new_middle));
+    changes.extend(old[old.len() - tail..].iter().map(|l| Change::Kept(l)));
+    changes
+}
+
+fn compare_lines<'a>(old: &[&'a str], new: &[&'a str]) -> Vec<Change<'a>> {
+    if old.len().saturating_mul(new.len()) > MAX_PAIRS {
+        let removed = old.iter().map(|l| Change::Removed(l));
+        return removed.chain(new.iter().map(|l| Change::Added(l))).collect();
+    }
+    let width = new.len() + 1;
+    let mut common = vec![0_u32; (old.len() + 1) * width];
+    for i in (0..old.len()).rev() {
+        for j in (0..new.len()).rev() {
+            common[i * width + j] = if old[i] == new[j] {
+                common[(i + 1) * width + j + 1] + 1
+            } else {
+                common[(i + 1) * width + j].max(common[i * width + j + 1])
+            };
+        }
+    }
+    let (mut i, mut j) = (0, 0);
+    let mut changes = Vec::new();
+    while i < old.len() && j < new.len() {
+        if old[i] == new[j] {
+            changes.push(Change::Kept(old[i]));
+            (i, j) = (i + 1, j + 1);
+        } else if common[(i + 1) * width + j] >= common[i * width + j + 1] {
+            changes.push(Change::Removed(old[i]));
+            i += 1;
+        } else {
+            changes.push(Change::Added(new[j]));
+            j += 1;
+        }
+    }
+    changes.extend(old[i..].iter().map(|l| Change::Removed(l)));
+    changes.extend(new[j..].iter().map(|l| Change::Added(l)));
+    changes
+}
+
+/// The difference as text: changed lines with a few lines around them; empty where none differs.
+pub(crate) fn diff_text(old: &str, new: &str) -> String {
+    let changes = compare_texts(old, new);
+    let is_changed = |change: &Change<'_>| !matches!(change, Change::Kept(_));
+    let mut text = String::new();
+    let mut left_out = false;
+    for (i, change) in changes.iter().enumerate() {
+        let around = i.saturating_sub(CONTEXT)..(i + CONTEXT + 1).min(changes.len());
+        if !changes[around].iter().any(is_changed) {
+            left_out = true;
+            continue;
+        }
+        if left_out && !text.is_empty() {
+            text += "  ...\n";
+        }
+        left_out = false;
+        let (mark, line) = match change {
+            Change::Added(line) => ('+', line),
+            Change::Kept(line) => (' ', line),
+            Change::Removed(line) => ('-', line),
+        };
+        text += &format!("{mark} {line}\n");
+    }
+    text
+}
+
+/// Numbers of added and removed lines.
+pub(crate) fn count_changes(old: &str, new: &str) -> (usize, usize) {
+    let changes = compare_texts(old, new);
+    let count = |wanted: fn(&Change<'_>) -> bool| changes.iter().filter(|c| wanted(c)).count();
+    (count(|c| matches!(c, Change::Added(_))), count(|c| matches!(c, Change::Removed(_))))
+}
--- /dev/null
+++ b/crates/steer/src/explain/explain_request.rs
@@ -0,0 +1,218 @@
+//! Explains where a request would go, by the decisions that route it.
+
+use super::{
+    ClassReason, ExplainError, Explanation, HomeReason, ShiftReason, ZoneReason, ZoneVerdict,
+};
+use crate::{
+    AvailabilityZoneName, ClassName, ClientBlock, DrainSettings, EntryNode, LookupVm, PoolKey,
+    PoolOwner, PoolRoom, Service, ServiceName, Snapshot, VmName, nearest_name, order_zones,
+};
+use jiff::Timestamp;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// What is asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExplainQuery {
+    /// Block of clients that the request comes from.
+    pub block: ClientBlock,
+    /// Class of the request; `None` shows all.
+    pub class: Option<ClassName>,
+    /// Service that it asks for.
+    pub service: ServiceName,
+}
+
+/// A pool as the answering VM knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownPool {
+    /// Time since its room was heard of.
+    pub age: Duration,
+    /// Entry VM that owns the pool.
+    pub owner: VmName,
+    /// Its room.
+    pub room: PoolRoom,
+}
+
+/// Explains where a request that arrives at the first of `vms` would go.
+///
+/// # Errors
+///
+/// Where the service or the class isn't known.
+pub fn explain_request(
+    snapshot: &Snapshot,
+    query: &ExplainQuery,
+    vms: Vec<LookupVm>,
+    here: &AvailabilityZoneName,
+    pools: &BTreeMap<PoolKey, KnownPool>,
+    now: Timestamp,
+) -> Result<Explanation, ExplainError> {
+    snapshot.fleet().ok_or(ExplainError::NoSettings)?;
+    let service = snapshot.service(&query.service).ok_or_else(|| ExplainError::UnknownService {
+        known: nearest_name(query.service.as_str(), snapshot.services().map(|s| s.name.as_str())),
+        name: query.service.clone(),
+    })?;
+    let home = find_home(snapshot, &query.block, here)?;
+    let arrival = vms.first().map_or(here, |vm| &vm.zone).clone();
+    let shares = service.settings.shares.get(&home.region).into_iter().flatten();
+    let shifts = snapshot
+        .shifts()
+        .iter()
+        .filter(|s| s.service == service.name && s.from == home.region)
+        .map(|s| ShiftReason { now: s.share_at(now), shift: s.clone() });
+    Ok(Explanation {
+        block: query.block,
+        classes: find_classes(service, query.class.as_ref())?,
+        service: service.name.clone(),
+        shares: shares.map(|(region, share)| (region.clone(), *share)).collect(),
+        shifts: shifts.collect(),
+        team: service.team.clone(),
+        vms,
+        zones: find_zones(snapshot, service, &arrival, pools, now),
+        arrival,
+        home,
+    })
+}
+
+fn find_home(
+    snapshot: &Snapshot,
+    block: &ClientBlock,
+    here: &AvailabilityZoneName,
+) -> Result<HomeReason, ExplainError> {
+    let address = block.network().addr();
+    let blocks = snapshot.fleet().map(|fleet| &fleet.blocks);
+    let longest = blocks
+        .into_iter()
+        .flatten()
+        .filter(|(prefix, _)| prefix.contains(address))
+        .max_by_key(|(prefix, _)| prefix.network().prefix_len());
+    if let Some((prefix, region)) = longest {
+        return Ok(HomeReason { prefix: Some(*prefix), region: region.clone() });
+    }
+    let region = snapshot.region_of(here).ok_or(ExplainError::NoSettings)?.clone();
+    Ok(HomeReason { prefix: None, region })
+}
+
+fn find_classes(
+    service: &Service,
+    asked: Option<&ClassName>,
+) -> Result<Vec<ClassReason>, ExplainError> {
+    let classes = &service.settings.classes;
+    if let Some(name) = asked.filter(|name| !classes.contains_key(*name)) {
+        let known = nearest_name(name.as_str(), classes.keys().map(ClassName::as_str));
+        return Err(ExplainError::UnknownClass { known, name: name.clone() });
+    }
+    let fits = |name: &ClassName| asked.is_none_or(|asked| asked == name);
+    let reasons = classes.iter().filter(|(name, _)| fits(name)).map(|(name, class)| ClassReason {
+        deadline_ms: class.deadline_ms,
+        name: name.clone(),
+        repeat: class.repeat,
+        slot_share: class.slot_share,
+        urgency: class.urgency,
+    });
+    Ok(reasons.collect())
+}
+
+fn find_zones(
+    snapshot: &Snapshot,
+    service: &Service,
+    arrival: &AvailabilityZoneName,
+    pools: &BTreeMap<PoolKey, KnownPool>,
+    now: Timestamp,
+) -> Vec<ZoneReason> {
+    let tried = order_zones(snapshot, service, arrival, now);
+    let all: BTreeSet<&AvailabilityZoneName> =
+        service.settings.targets.values().map(|t| &t.zone).collect();
+    let drained = all.into_iter().filter(|zone| !tried.contains(zone));
+    let mut chosen = false;
+    let mut reasons = Vec::new();
+    for zone in tried.iter().chain(drained) {
+        let key = PoolKey { service: service.name.clone(), zone: zone.clone() };
+        let mut reason = describe_zone(snapshot, service, zone, pools.get(&key).cloned(), now);
+        reason.delay_ms = snapshot.delay_ms(arrival, zone);
+        if reason.verdict == ZoneVerdict::NextChoice && !chosen {
+            reason.verdict = ZoneVerdict::Chosen;
+            chosen = true;
+        }
+        reasons.push(reason);
+    }
+    reasons
+}
+
+fn describe_zone(
+    snapshot: &Snapshot,
+    service: &Service,
+    zone: &AvailabilityZoneName,
+    pool: Option<KnownPool>,
+    now: Timestamp,
+) -> ZoneReason {
+    let targets = || service.settings.targets.iter().filter(|(_, t)| t.zone == *zone);
+    let serving = targets().filter(|(name, _)| !snapshot.is_drained(name, zone, now)).count();
+    let region = snapshot.region_of(zone);
+    let drains = snapshot.drains(now).filter(|drain| match drain {
+        DrainSettings::EntryVm(_) => false,
+        DrainSettings::Region(name) => region == Some(name),
+        DrainSettings::Target(name) => targets().any(|(target, _)| target == name),
+        DrainSettings::Zone(name) => name == zone,
+    });
+    let verdict = match &pool {
+        _ if serving == 0 => ZoneVerdict::Drained,
+        None => ZoneVerdict::NoOwner,
+        Some(pool) if pool.room.free == 0 => ZoneVerdict::NoRoom,
+        Some(_) => ZoneVerdict::NextChoice,
+    };
+    ZoneReason {
+        delay_ms: None,
+        drains: drains.cloned().collect(),
+        pool,
+        region: region.cloned(),
+        serving,
+        targets: targets().count(),
+        verdict,
+        zone: zone.clone(),
+    }
+}
+
+impl EntryNode {
+    /// The serving entry VM that owns a pool.
+    fn owner_name(&self, key: &PoolKey) -> Option<VmName> {
+        match self.pool_owner(key) {
+            PoolOwner::Here => Some(self.vm().name.clone()),
+            PoolOwner::Nobody => None,
+            PoolOwner::Peer(peer) => Some(peer.name),
+        }
+    }
+
+    /// The pools that this VM and its serving peers own, each with its age.
+    pub fn known_pools(&self) -> BTreeMap<PoolKey, KnownPool> {
+        let now = Instant::now();
+        let own = self.heartbeat();
+        let mut beats = vec![(own.vm.name, own.state, own.room, Duration::ZERO)];
+        for peer in self.peers() {
+            beats.push((peer.vm.name, peer.state, peer.room, now - peer.heard));
+        }
+        let mut pools = BTreeMap::new();
+        for (vm, state, room, age) in beats {
+            // A heartbeat may still name pools that went to another owner.
+            for (key, room) in room.into_iter().filter(|_| state.accepts_work()) {
+                if self.owner_name(&key).as_ref() == Some(&vm) {
+                    pools.insert(key, KnownPool { age, owner: vm.clone(), room });
+                }
+            }
+        }
+        pools
+    }
+
+    /// Explains where a request would go now.
+    ///
+    /// # Errors
+    ///
+    /// Where no settings are in force, or the service or class isn't known.
+    pub fn explain(&self, query: &ExplainQuery) -> Result<Explanation, ExplainError> {
+        let vms = self.look_up(&query.block).vms;
+        let (pools, now) = (self.known_pools(), self.ports().clock.now());
+        explain_request(&self.snapshot(), query, vms, &self.vm().zone, &pools, now)
+    }
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod choice;
 mod errors;
+mod explain;
 mod flows;
 mod lookup;
 mod membership;
@@ -28,6 +29,6 @@
 mod settings;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, pool::*, ports::*,
-    routing::*, settings::*,
+    choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*, node::*,
+    pool::*, ports::*, routing::*, settings::*,
 };
--- a/crates/steer/src/settings/bounds.rs
+++ b/crates/steer/src/settings/bounds.rs
@@ -1,6 +1,8 @@
 //! The bounds that the fleet's document sets to a team's.
 
-use super::{Findings, FleetDocument, Place, ServiceSettings, TeamBounds, TeamDocument};
+use super::{
+    Findings, FleetDocument, Place, ServiceSettings, TeamBounds, TeamDocument, nearest_name,
+};
 use crate::{AvailabilityZoneName, RegionName, ServiceName, TargetName, TeamName};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -54,8 +56,8 @@
         found: &mut Findings,
     ) -> TeamDocument {
         let Some(grant) = self.grant else {
-            let known: Vec<String> = self.fleet.teams.keys().map(ToString::to_string).collect();
-            let near = super::findings::suggest(self.team.as_str(), &known);
+            let known = self.fleet.teams.keys().map(TeamName::as_str);
+            let near = nearest_name(self.team.as_str(), known);
             found.add(&Place::root(), format!("the fleet has no team `{}`; {near}", self.team));
             return TeamDocument::default();
         };
--- a/crates/steer/src/settings/findings.rs
+++ b/crates/steer/src/settings/findings.rs
@@ -39,7 +39,13 @@
     ) {
         let known: Vec<String> = known.into_iter().map(|n| n.as_ref().to_owned()).collect();
         if !known.iter().any(|n| n == name.as_ref()) {
-            self.add(place, format!("unknown {what} `{name}`; {}", suggest(name.as_ref(), &known)));
+            self.add(
+                place,
+                format!(
+                    "unknown {what} `{name}`; {}",
+                    nearest_name(name.as_ref(), known.iter().map(String::as_str))
+                ),
+            );
         }
     }
 
@@ -61,12 +67,18 @@
     }
 }
 
-/// Names the nearest known name, or what is known.
-pub(super) fn suggest(name: &str, known: &[String]) -> String {
+/// Tells an operator the nearest known name, or what is known.
+///
+/// ```
+/// assert_eq!(steer::nearest_name("breifs", ["briefs", "media"]), "did you mean `briefs`?");
+/// assert_eq!(steer::nearest_name("x", ["briefs"]), "known are `briefs`");
+/// ```
+pub fn nearest_name<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    let known: Vec<&str> = known.into_iter().collect();
     if known.is_empty() {
         return "none is known".to_owned();
     }
-    let score = |other: &String| jaro_winkler(name, other);
+    let score = |other: &str| jaro_winkler(name, other);
     let nearest = known.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
     if let Some(nearest) = nearest.filter(|n| score(n) > SUGGEST_ABOVE) {
         return format!("did you mean `{nearest}`?");
--- a/crates/steer/src/settings/mod.rs
+++ b/crates/steer/src/settings/mod.rs
@@ -26,6 +26,7 @@
 pub use self::{
     class_settings::{ClassSettings, MatchRule, RepeatRule, Urgency},
     drain_settings::{DrainSettings, Maintenance},
+    findings::nearest_name,
     fleet_document::{FleetDocument, MemberSettings, RegionSettings, TeamBounds},
     link_settings::LinkSettings,
     place::{Place, Step},
--- a/crates/steer/src/settings/problem.rs
+++ b/crates/steer/src/settings/problem.rs
@@ -1,5 +1,6 @@
 //! A reason why a settings document is refused.
 
+use super::{Place, source};
 use derive_more::Display;
 
 /// Line and column in a document, both from 1 on.
@@ -28,6 +29,19 @@
     }
 }
 
+impl Position {
+    /// The position of a value in a document; that of what stands around it where it is missing.
+    ///
+    /// ```
+    /// use steer::{Place, Position};
+    /// let place = Place::root().key("fleet");
+    /// assert_eq!(Position::of_place("{\n  \"fleet\": 7 }", &place).to_string(), "2:3");
+    /// ```
+    pub fn of_place(text: &str, place: &Place) -> Self {
+        source::positions(text, &[place]).first().copied().unwrap_or_default()
+    }
+}
+
 impl Default for Position {
     fn default() -> Self {
         Self { column: 1, line: 1 }
--- a/crates/steer/src/settings/shift_settings.rs
+++ b/crates/steer/src/settings/shift_settings.rs
@@ -25,3 +25,20 @@
     /// Region that receives the traffic.
     pub to: RegionName,
 }
+
+impl ShiftSettings {
+    /// The share that the ramp moves by a time, from 0 to `share`.
+    ///
+    /// ```
+    /// let shift: steer::ShiftSettings = serde_json::from_str(
+    ///     r#"{ "cap": 5, "from": "a", "ramp_s": 60, "service": "s", "share": 0.5,
+    ///          "start": "2026-01-01T00:00:00Z", "to": "b" }"#,
+    /// ).unwrap();
+    /// assert_eq!(shift.share_at("2026-01-01T00:00:30Z".parse().unwrap()), 0.25);
+    /// assert_eq!(shift.share_at("2026-01-01T09:00:00Z".parse().unwrap()), 0.5);
+    /// ```
+    pub fn share_at(&self, now: Timestamp) -> f64 {
+        let past = now.duration_since(self.start).as_secs_f64();
+        self.share * (past / f64::from(self.ramp_s)).clamp(0.0, 1.0)
+    }
+}
--- a/crates/steer/src/settings/snapshot.rs
+++ b/crates/steer/src/settings/snapshot.rs
@@ -95,6 +95,11 @@
         self.drains.iter().chain(open)
     }
 
+    /// Planned drains, open or not.
+    pub fn maintenance(&self) -> &[Maintenance] {
+        &self.maintenance
+    }
+
     /// Tells whether a target is drained at a time, by itself or with its zone or region.
     pub fn is_drained(
         &self,
--- a/crates/steer/src/settings/source.rs
+++ b/crates/steer/src/settings/source.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Place, Position, Problem, Step,
-    findings::{Findings, suggest},
+    findings::{Findings, nearest_name},
 };
 use jsonc_parser::{ParseOptions, ast::Value, common::Ranged, parse_to_ast};
 use serde::de::DeserializeOwned;
@@ -138,7 +138,10 @@
     let quoted: Vec<String> = message.split('`').skip(1).step_by(2).map(str::to_owned).collect();
     for (start, what) in [("unknown field", "key"), ("unknown variant", "value")] {
         if let (true, Some((name, known))) = (message.starts_with(start), quoted.split_first()) {
-            return format!("unknown {what} `{name}`; {}", suggest(name, known));
+            return format!(
+                "unknown {what} `{name}`; {}",
+                nearest_name(name, known.iter().map(String::as_str))
+            );
         }
     }
     if let (true, Some(name)) = (message.starts_with("missing field"), quoted.first()) {
