--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -38,6 +38,8 @@
     pub(crate) region: RegionName,
     /// Traces; none without it.
     #[serde(default)]
+    pub(crate) seeds: Vec<SocketAddr>,
+    #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     /// Availability zone of this VM.
     pub(crate) zone: AvailabilityZoneName,
