--- a/crates/adapters/src/operators/mod.rs
+++ b/crates/adapters/src/operators/mod.rs
@@ -9,5 +9,8 @@
     explain_view::{ExplainView, ExplainedClass, ExplainedShift, ExplainedVm, ExplainedZone},
     operator_client::{OperatorClient, OperatorError},
     operator_front::answer_operator,
-    status_view::{ProblemsView, RoomView, ShareView, ShiftView, StatusView, VmView},
+    status_view::{
+        ControlView, KnowledgeView, ProblemsView, RoomView, ShareView, ShiftView, StatusView,
+        VmView,
+    },
 };
--- a/crates/adapters/src/operators/status_view.rs
+++ b/crates/adapters/src/operators/status_view.rs
@@ -7,8 +7,8 @@
     time::Duration,
 };
 use steer::{
-    DrainSettings, EntryNode, Maintenance, PeerRecord, PoolKey, Problem, SettingsPath,
-    ShiftSettings, Snapshot,
+    ControlPart, DrainSettings, EntryNode, EntryVm, Maintenance, PartUsage, PoolKey, Problem,
+    SettingsPath, ShiftSettings, Snapshot, VmState,
 };
 use tokio::time::Instant;
 
@@ -90,15 +90,39 @@
     pub share: f64,
 }
 
+/// How long ago the platform confirmed what is known, by itself or through a peer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KnowledgeView {
+    /// Age of the list of VMs in milliseconds.
+    pub list_ms: Option<u64>,
+    /// Age of the settings in milliseconds.
+    pub settings_ms: Option<u64>,
+}
+
+/// Control traffic of one part since the start.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ControlView {
+    /// Messages sent.
+    pub messages: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Bytes sent.
+    pub sent: u64,
+}
+
 /// The status of an entry VM and what it knows about its peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StatusView {
+    /// Control traffic of the answering VM by part.
+    pub control: BTreeMap<String, ControlView>,
     /// Digest of the settings in force.
     pub digest: String,
     /// What is drained now, open maintenance windows included.
     pub drains: Vec<DrainSettings>,
     /// Name of the fleet.
     pub fleet: String,
+    /// Age of what is known.
+    pub knowledge: KnowledgeView,
     /// Documents in force of which a part is left out, by path.
     pub limited: BTreeMap<String, ProblemsView>,
     /// Planned drains.
@@ -148,9 +172,11 @@
             regions.entry(region.to_string()).or_default().insert(zone.to_string());
         }
         Self {
+            control: read_control(node),
             digest: to_hex(node.heartbeat().digest),
             drains: snapshot.drains(now).cloned().collect(),
             fleet: node.vm().fleet.to_string(),
+            knowledge: read_knowledge(node),
             limited,
             maintenance: snapshot.maintenance().to_vec(),
             refused,
@@ -183,23 +209,38 @@
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn read_control(node: &EntryNode) -> BTreeMap<String, ControlView> {
+    let view = |part| {
+        let PartUsage { messages, received, sent } = node.control_usage(part);
+        ControlView { messages, received, sent }
+    };
+    ControlPart::ALL.into_iter().map(|part| (part.to_string(), view(part))).collect()
+}
+
+fn read_knowledge(node: &EntryNode) -> KnowledgeView {
+    let knowledge = node.knowledge();
+    let age = |then: Option<Instant>| then.map(|then| to_millis(then.elapsed()));
+    KnowledgeView { list_ms: age(knowledge.list_at), settings_ms: age(knowledge.settings_at) }
+}
+
 fn read_vms(node: &EntryNode) -> BTreeMap<String, VmView> {
     let own = node.heartbeat();
     let now = Instant::now();
-    let digest = own.digest;
-    let heard = now;
-    let own = PeerRecord { digest, heard, room: own.room, state: own.state, vm: own.vm };
-    let all = node.peers().into_iter().chain([own]);
-    let view = |peer: &PeerRecord| VmView {
-        current: peer.digest == digest,
-        digest: to_hex(peer.digest),
-        heard_ms: to_millis(now.saturating_duration_since(peer.heard)),
-        operators: peer.vm.addresses.operators,
-        region: peer.vm.region.to_string(),
-        state: peer.state.to_string(),
-        zone: peer.vm.zone.to_string(),
+    let view = |vm: &EntryVm, state: VmState, digest: u64, heard: Instant| VmView {
+        current: digest == own.digest,
+        digest: to_hex(digest),
+        heard_ms: to_millis(now.saturating_duration_since(heard)),
+        operators: vm.addresses.operators,
+        region: vm.region.to_string(),
+        state: state.to_string(),
+        zone: vm.zone.to_string(),
     };
-    all.map(|peer| (peer.vm.name.to_string(), view(&peer))).collect()
+    let peers = node.peers();
+    let peers = peers.iter().map(|p| (&p.vm, p.state, p.digest, p.heard));
+    peers
+        .chain([(&own.vm, own.state, own.digest, now)])
+        .map(|(vm, state, digest, heard)| (vm.name.to_string(), view(vm, state, digest, heard)))
+        .collect()
 }
 
 fn read_room(node: &EntryNode, snapshot: &Snapshot) -> Vec<RoomView> {
--- a/crates/ragwortswitch/src/commands/check.rs
+++ b/crates/ragwortswitch/src/commands/check.rs
@@ -4,6 +4,7 @@
     arguments::{Argument, Common, Usage, unknown_option},
     process_settings::ProcessSettings,
     report::Report,
+    text_table::wrap_text,
 };
 use lexopt::{Parser, ValueExt};
 use schemars::schema_for;
@@ -17,10 +18,10 @@
 Usage: ragwortswitch check [OPTIONS] FILE...
        ragwortswitch check --schema[=fleet|team|process]
 
-A file named fleet.json or fleet.jsonc is the fleet's document, one in a directory
-`teams` is that of the team it is named after, and any other one holds process
-settings. Teams are checked against the bounds of the fleet's document if that is
-among the files.
+A file named fleet.json or fleet.jsonc is the fleet's document, one in a
+directory `teams` is that of the team it is named after, and any other one
+holds process settings. Teams are checked against the bounds of the fleet's
+document if that is among the files.
 
 Options:
   --json            Output for programs
@@ -162,11 +163,11 @@
     for Checked { file, note, problems } in checked {
         report.failed |= !problems.is_empty();
         for problem in problems {
-            report.text += &format!("{file}:{problem}\n");
+            report.text += &problem_text(file, problem);
         }
         if problems.is_empty() {
             let note = note.map(|note| format!(" ({note})")).unwrap_or_default();
-            report.text += &format!("{file}: good{note}\n");
+            report.text += &wrap_text(&format!("{file}: good{note}"), "");
         }
         let problems: Vec<Value> = problems.iter().map(problem_json).collect();
         files.push(json!({ "file": file, "note": note, "problems": problems }));
@@ -175,6 +176,12 @@
     report
 }
 
+/// A problem for people: its place on one line, what is wrong below.
+pub(crate) fn problem_text(file: &str, problem: &Problem) -> String {
+    let Problem { place, position, reason } = problem;
+    format!("{file}:{position}: {place}\n{}", wrap_text(reason, "    "))
+}
+
 /// A problem for programs.
 pub(crate) fn problem_json(problem: &Problem) -> Value {
     json!({
--- a/crates/ragwortswitch/src/commands/explain.rs
+++ b/crates/ragwortswitch/src/commands/explain.rs
@@ -21,7 +21,7 @@
   --class NAME     Show this class alone
   --json           Output for programs
   --service NAME   Service that the request asks for
-  --vm ADDR        Address at which an entry VM answers operators (or RAGWORT_VM)
+  --vm ADDR        Where an entry VM answers operators (or RAGWORT_VM)
 ";
 
 /// Options of the command.
--- a/crates/ragwortswitch/src/commands/mod.rs
+++ b/crates/ragwortswitch/src/commands/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::run_entry_vm::WrapPeers;
 pub(crate) use self::{
-    check::{CheckOptions, problem_json},
+    check::{CheckOptions, problem_json, problem_text},
     explain::ExplainOptions,
     lookup::LookupOptions,
     put_settings::{PutOptions, put_settings},
--- a/crates/ragwortswitch/src/commands/put_settings.rs
+++ b/crates/ragwortswitch/src/commands/put_settings.rs
@@ -1,9 +1,10 @@
 //! `ragwortswitch settings put`: a checked, conditional write whose end is known.
 
-use super::problem_json;
+use super::{problem_json, problem_text};
 use crate::{
     report::Report,
     text_diff::{count_changes, diff_text},
+    text_table::wrap_text,
 };
 use adapters::{HttpPlatform, PlatformObjectBody};
 use serde_json::{Value, json};
@@ -39,8 +40,10 @@
     Raced,
     /// Nobody knows.
     Unknown(PlatformError),
-    /// The text was written as this version; `read_back` where an answer was lost.
-    Written { read_back: bool, version: u64 },
+    /// The text was written as this version.
+    Written(u64),
+    /// The answer was lost; the text was found as this version, and this one is the newest.
+    WrittenBefore { newest: u64, version: u64 },
 }
 
 /// Checks a file and writes it over the version that it replaces.
@@ -72,11 +75,15 @@
              run `settings get {path}` when the platform answers again"
         )
         .into()),
-        End::Written { read_back, version } => Ok(success(path, version, read_back, &limited)),
+        End::Written(version) => Ok(success(path, version, None, &limited)),
+        End::WrittenBefore { newest, version } => {
+            Ok(success(path, version, Some(newest), &limited))
+        }
     }
 }
 
-/// Checks a text against the other documents on the platform; gives what it would limit.
+/// Checks a text against the documents on the platform, over the version that stands there; gives
+/// what it would limit.
 fn check(
     path: &SettingsPath,
     text: &str,
@@ -89,9 +96,6 @@
         else {
             continue;
         };
-        if other == *path {
-            continue;
-        }
         if let Ok(checked) = Settings::new(other, object.version, value).check() {
             // Documents out of bounds stay out here as they do on the entry VMs.
             let _ = tree.put_in_force(checked);
@@ -121,7 +125,7 @@
     let mut last = PlatformError::Unavailable("no write was tried".into());
     for attempt in 0..ATTEMPTS {
         match platform.write(&object, text, expected).await {
-            Ok(version) => return Ok(End::Written { read_back: false, version }),
+            Ok(version) => return Ok(End::Written(version)),
             Err(PlatformError::Conflict { .. }) if attempt == 0 => return Ok(End::Raced),
             Err(PlatformError::Conflict { .. }) => {
                 return read_back(platform, &object, text, base).await;
@@ -148,11 +152,12 @@
     let versions = platform.history(object).await?;
     let next = versions.iter().filter(|v| v.version > base).min_by_key(|v| v.version);
     let own = next.filter(|next| next.value.as_deref() == Some(text));
-    Ok(own.map_or(End::Raced, |own| End::Written { read_back: true, version: own.version }))
+    let newest = versions.first().map_or(base, |newest| newest.version);
+    Ok(own.map_or(End::Raced, |own| End::WrittenBefore { newest, version: own.version }))
 }
 
 fn refusal(file: &str, problems: &[Problem]) -> Report {
-    let lines: String = problems.iter().map(|p| format!("{file}:{p}\n")).collect();
+    let lines: String = problems.iter().map(|p| problem_text(file, p)).collect();
     let list: Vec<Value> = problems.iter().map(problem_json).collect();
     Report {
         failed: true,
@@ -161,14 +166,24 @@
     }
 }
 
-fn success(path: &SettingsPath, version: u64, read_back: bool, limited: &[String]) -> Report {
-    let how = if read_back { " (the answer was lost; found by reading back)" } else { "" };
-    let mut text = format!("{path} is now version {version}{how}\n");
+/// Tells what was written; `newest` where the answer was lost and read back.
+fn success(path: &SettingsPath, version: u64, newest: Option<u64>, limited: &[String]) -> Report {
+    let mut text = match newest {
+        None => format!("{path} is now version {version}\n"),
+        Some(newest) if newest == version => {
+            format!("{path} is now version {version}; the answer was lost and read back\n")
+        }
+        Some(newest) => format!(
+            "{path} was written as version {version}; the answer was lost and read back.\n\
+             Since then it was replaced: it is at version {newest}. To see by whom, run\n  \
+             ragwortswitch settings history {path}\n"
+        ),
+    };
     if !limited.is_empty() {
         text += "With it, parts of documents in force are left out:\n";
-        limited.iter().for_each(|line| text += &format!("  {line}\n"));
+        limited.iter().for_each(|line| text += &wrap_text(line, "  "));
     }
-    let json = json!({ "limited": limited, "read_back": read_back, "version": version,
+    let json = json!({ "limited": limited, "newest": newest.unwrap_or(version), "version": version,
         "written": true });
     Report { failed: false, json, text }
 }
@@ -182,7 +197,7 @@
     let PutOptions { file, path, .. } = options;
     let versions = platform.history(&path.to_platform()).await?;
     let text_of = |v: &PlatformObjectBody| v.value.clone().unwrap_or_default();
-    let Some(newest) = versions.first() else {
+    let Some(newest) = versions.first().filter(|newest| newest.version > base) else {
         let json = json!({ "held": 0, "replaces": base, "written": false });
         let text = format!("{path} was not written: there is no version {base} of it\n");
         return Ok(Report { failed: true, json, text });
--- a/crates/ragwortswitch/src/commands/run_entry_vm.rs
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -27,12 +27,13 @@
 pub type WrapPeers = fn(Arc<dyn Peers>) -> Arc<dyn Peers>;
 
 const HELP: &str = "\
-Runs an entry VM until SIGTERM or SIGINT, then drains it: running requests finish.
+Runs an entry VM until SIGTERM or SIGINT, then drains it: its running requests
+finish.
 
 Usage: ragwortswitch entry FILE [OPTIONS]
 
-FILE holds process settings: who the VM is, where it listens and where the platform
-is. Check it with `ragwortswitch check FILE`.
+FILE holds process settings: who the VM is, where it listens and where the
+platform is. Check it with `ragwortswitch check FILE`.
 
 Options:
   --threads N   Worker threads (default 2)
--- a/crates/ragwortswitch/src/commands/settings.rs
+++ b/crates/ragwortswitch/src/commands/settings.rs
@@ -23,9 +23,9 @@
        ragwortswitch settings diff PATH --from VERSION --to VERSION [OPTIONS]
        ragwortswitch settings history PATH [OPTIONS]
 
-PATH is fleet or teams/NAME. `put` checks FILE, and writes it only over the version
-that it replaces: where another write came first, it shows what that changed, and
-nothing is lost.
+PATH is fleet or teams/NAME. `put` checks FILE and writes it only over the
+version that it replaces: where another write came first, it shows what that
+changed, and nothing is lost.
 
 Options:
   --author NAME       Who writes (default: $USER)
--- a/crates/ragwortswitch/src/commands/status.rs
+++ b/crates/ragwortswitch/src/commands/status.rs
@@ -12,8 +12,8 @@
 use steer::DrainSettings;
 
 const HELP: &str = "\
-Shows what an entry VM knows: entry VMs, settings in force, refused documents, room,
-shares, shifts and drains.
+Shows what an entry VM knows: entry VMs, settings in force, refused documents,
+room, shares, shifts and drains.
 
 Usage: ragwortswitch status [OPTIONS]
 
@@ -123,6 +123,9 @@
 fn describe(status: &StatusView) -> String {
     let mut text =
         format!("Fleet {} as {} sees it, digest {}\n", status.fleet, status.vm, status.digest);
+    let known = |millis: Option<u64>| millis.map_or("never".to_owned(), |ms| age(ms) + " s ago");
+    let (settings, list) = (known(status.knowledge.settings_ms), known(status.knowledge.list_ms));
+    let _ = writeln!(text, "Settings confirmed {settings}, list of VMs read {list}");
     let vms = status.vms.iter().map(|(name, vm)| {
         let settings = if vm.current { "same" } else { "differ" };
         let cells = [name, &vm.region, &vm.zone, &vm.state, settings, &age(vm.heard_ms)];
--- a/crates/ragwortswitch/src/lib.rs
+++ b/crates/ragwortswitch/src/lib.rs
@@ -31,7 +31,7 @@
         Ok(command) => command,
         Err(Usage::Help(text)) => return print(text),
         Err(Usage::Misused(error)) => {
-            eprintln!("ragwortswitch: {error}; see 'ragwortswitch --help'");
+            complain(&format!("{error}; see 'ragwortswitch --help'"));
             return ExitCode::from(MISUSED);
         }
         Err(Usage::Version) => {
@@ -41,7 +41,7 @@
     match run(&command, wrap) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("ragwortswitch: {error}");
+            complain(&error.to_string());
             ExitCode::from(FAILED)
         }
     }
@@ -58,6 +58,13 @@
     Ok(if report.failed { ExitCode::from(FAILED) } else { code })
 }
 
+/// Writes an error to standard error, each of its lines in 80 columns.
+fn complain(error: &str) {
+    for line in format!("ragwortswitch: {error}").lines() {
+        eprint!("{}", text_table::wrap_text(line, ""));
+    }
+}
+
 /// Writes to standard output; a reader that went away, such as `head`, is no failure.
 fn print(text: &str) -> ExitCode {
     match io::stdout().write_all(text.as_bytes()) {
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -36,9 +36,10 @@
     pub(crate) platform: SocketAddr,
     /// Region of this VM.
     pub(crate) region: RegionName,
-    /// Traces; none without it.
+    /// Addresses of peers that are asked first, should the platform not answer.
     #[serde(default)]
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Traces; none without it.
     #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     /// Availability zone of this VM.
