--- a/crates/adapters/src/callers/lookup_front.rs
+++ b/crates/adapters/src/callers/lookup_front.rs
@@ -30,7 +30,7 @@
 }
 
 /// Answers a look-up for the block that it names, or for the caller's own address.
-pub(super) fn answer_lookup(
+pub(crate) fn answer_lookup(
     node: &EntryNode,
     request: &Request<Body>,
     caller: SocketAddr,
