Admit, choose and retry by measured load inside a pool

Cause: a pool served first come first served, took the emptiest target whatever its pace, and retried without a bound. Change: waiting lines by urgency and member counted in seconds of slot, bounds by class and by measured delay, refusals before a deadline can't be met; targets compared by own timings, eased out, warmed and backed off; retries and hedges from one budget; load reports as a correction only.

--- /dev/null
+++ b/crates/steer/benches/decisions.rs
@@ -0,0 +1,145 @@
+//! What one decision costs, at the sizes of today and up to those of the target.
+
+#![allow(clippy::unwrap_used, missing_docs, reason = "a benchmark may panic")]
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    hint::black_box,
+    net::{IpAddr, Ipv4Addr},
+    sync::Arc,
+    time::Duration,
+};
+use steer::{
+    BlockTable, Candidate, ClientBlock, FairQueue, MemberName, MemberWeights, TargetName,
+    TargetPool, TargetSettings, Ticket, Urgency, WaitingLine, choose_target,
+};
+use tokio::time::Instant;
+
+/// Targets of a pool: today's smallest and largest service, and the sites of the target.
+const TARGETS: [usize; 4] = [2, 16, 256, 2_700];
+const MEMBERS: [usize; 3] = [6, 100, 2_700];
+const BLOCKS: [usize; 3] = [100, 10_000, 1_700_000];
+
+fn choice(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choice");
+    for count in TARGETS {
+        let mut rng = StdRng::seed_from_u64(1);
+        let targets: Vec<Candidate> = (0..count)
+            .map(|_| Candidate { busy: rng.random_range(0..6), limit: 6, pace: 1.0 })
+            .collect();
+        let mut start = 0;
+        group.bench_with_input(BenchmarkId::from_parameter(count), &targets, |b, targets| {
+            b.iter(|| {
+                start += 1;
+                choose_target(targets.len(), start, |i| targets.get(i).copied())
+            });
+        });
+    }
+    group.finish();
+}
+
+/// One request leaves the line and one joins it, while two of each member wait.
+fn admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admission");
+    for count in MEMBERS {
+        let members: Vec<MemberName> =
+            (0..count).map(|i| MemberName::from(format!("member-{i}"))).collect();
+        let cost = Duration::from_millis(20);
+        let (mut line, now) = (WaitingLine::new(), Instant::now());
+        let mut id = 0;
+        let mut push = |line: &mut WaitingLine<u64>, member: &MemberName| {
+            id += 1;
+            line.push(now, Urgency::Interactive, 0, member, 1, cost, id, id);
+        };
+        for member in members.iter().chain(&members) {
+            push(&mut line, member);
+        }
+        group.bench_with_input(BenchmarkId::from_parameter(count), &count, |b, _| {
+            b.iter(|| {
+                let (_, member, _) = line.pop(now, |_| true).unwrap();
+                push(&mut line, &member);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// The newest request of the member that is furthest over its share makes room for another.
+fn eviction(c: &mut Criterion) {
+    let mut group = c.benchmark_group("eviction");
+    for count in MEMBERS {
+        let mut queue = FairQueue::new();
+        let cost = Duration::from_millis(20);
+        for i in 0..count {
+            queue.push(0, &MemberName::from(format!("member-{i}")), 1, cost, i as u64, ());
+        }
+        let mut id = count as u64;
+        let flood = MemberName::from("flood");
+        group.bench_with_input(BenchmarkId::from_parameter(count), &count, |b, _| {
+            b.iter(|| {
+                for _ in 0..2 {
+                    id += 1;
+                    queue.push(0, &flood, 1, cost, id, ());
+                }
+                let over = queue.furthest_over().unwrap().clone();
+                queue.evict(&over);
+                queue.evict(&over);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn pool_of(count: usize) -> Arc<TargetPool> {
+    let pool = Arc::new(TargetPool::default());
+    let targets: Vec<(TargetName, TargetSettings)> = (0..count)
+        .map(|i| {
+            let address = "127.0.0.1:9000".parse().unwrap();
+            let settings = TargetSettings { address, connections: 330, slots: 6, zone: "z".into() };
+            (TargetName::from(format!("target-{i:04}")), settings)
+        })
+        .collect();
+    pool.set_targets(targets.iter().map(|(name, settings)| (name, settings, false)));
+    pool.set_members(MemberWeights::default());
+    pool
+}
+
+/// Admission, choice and the return of the slot of one request, with locks and channel.
+fn whole(c: &mut Criterion) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let mut group = c.benchmark_group("admit_choose_release");
+    for count in TARGETS {
+        let pool = pool_of(count);
+        let deadline = Instant::now() + Duration::from_secs(3_600);
+        let ticket = Ticket::new("read", "a", deadline).urgency(Urgency::Interactive);
+        group.bench_with_input(BenchmarkId::from_parameter(count), &ticket, |b, ticket| {
+            b.iter(|| {
+                let mut permit = runtime.block_on(pool.admit(ticket)).unwrap();
+                permit.note_answer();
+                black_box(permit.address())
+            });
+        });
+    }
+    group.finish();
+}
+
+fn look_up(c: &mut Criterion) {
+    let mut group = c.benchmark_group("look_up");
+    for count in BLOCKS {
+        let mut rng = StdRng::seed_from_u64(1);
+        let blocks = (0..count as u32).map(|i| {
+            let address = Ipv4Addr::from_bits(i.wrapping_mul(0x9e37_79b1) & !0xff);
+            let net = ipnet::IpNet::new(IpAddr::V4(address), 24).unwrap().trunc();
+            (ClientBlock::from(net), i % 2_700)
+        });
+        let table = BlockTable::new(blocks);
+        group.bench_with_input(BenchmarkId::from_parameter(count), &table, |b, table| {
+            b.iter(|| table.find(IpAddr::V4(Ipv4Addr::from_bits(rng.random()))));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choice, admission, eviction, whole, look_up);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/steer/src/admission/admit_error.rs
@@ -0,0 +1,49 @@
+//! Why a request got no slot.
+
+use crate::{ErrorKind, Refusal};
+use derive_more::{Display, Error};
+use std::time::Duration;
+
+/// Why a request got no slot, and how long the wait for one is expected to be.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("{kind}")]
+pub struct AdmitError {
+    /// Which of the closed list of errors it is.
+    pub kind: ErrorKind,
+    /// Expected wait for a slot.
+    pub wait: Duration,
+}
+
+impl AdmitError {
+    /// Longest time in seconds that a caller is told to stay away.
+    pub const LONGEST_RETRY_S: u64 = 60;
+
+    /// Makes an error.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let error = steer::AdmitError::new(steer::ErrorKind::NoRoom, Duration::from_millis(1_200));
+    /// assert_eq!(error.retry_after(), 2);
+    /// ```
+    pub fn new(kind: ErrorKind, wait: Duration) -> Self {
+        Self { kind, wait }
+    }
+
+    /// Seconds after which the caller may try again: the expected wait, at least one second.
+    pub fn retry_after(&self) -> u32 {
+        let seconds = self.wait.as_millis().div_ceil(1_000) as u64;
+        seconds.clamp(1, Self::LONGEST_RETRY_S) as u32
+    }
+
+    /// Adds the waiting time to a refusal.
+    ///
+    /// ```
+    /// use steer::{AdmitError, ErrorKind, Refusal};
+    /// let error = AdmitError::new(ErrorKind::NoRoom, std::time::Duration::from_secs(7));
+    /// let refusal = error.explain(Refusal::from(ErrorKind::NoRoom));
+    /// assert_eq!(refusal.answer().retry_after, Some(7));
+    /// ```
+    pub fn explain(&self, refusal: Refusal) -> Refusal {
+        refusal.retry_after(self.retry_after())
+    }
+}
--- /dev/null
+++ b/crates/steer/src/choice/load_correction.rs
@@ -0,0 +1,58 @@
+//! Slots of a target that are busy with work that this VM did not send.
+
+use crate::LoadReport;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Corrects own counts by a target's load report, which lags and may mislead.
+///
+/// Only what the report shows above the most that this VM had under way since the report before
+/// counts as foreign work, and only until the report is old.
+///
+/// ```
+/// use std::time::Duration;
+/// use tokio::time::Instant;
+/// use steer::{LoadCorrection, LoadReport};
+/// let (mut correction, now) = (LoadCorrection::default(), Instant::now());
+/// correction.note_own(2);
+/// correction.take_report(now, LoadReport { busy: 5, leaving: false, queued: 0 }, 1);
+/// assert_eq!(correction.foreign(now), 3);
+/// assert_eq!(correction.foreign(now + LoadCorrection::KEPT), 0);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct LoadCorrection {
+    at: Option<Instant>,
+    before: u32,
+    foreign: u32,
+    most: u32,
+}
+
+impl LoadCorrection {
+    /// Time for which a report counts.
+    pub const KEPT: Duration = Duration::from_secs(2);
+
+    /// Notes how many requests this VM has under way at the target.
+    pub fn note_own(&mut self, own: u32) {
+        self.most = self.most.max(own);
+    }
+
+    /// Takes a report; `own` are the requests that this VM has under way now.
+    pub fn take_report(&mut self, now: Instant, report: LoadReport, own: u32) {
+        let most = self.most.max(self.before).max(own);
+        self.foreign = (report.busy + report.queued).saturating_sub(most);
+        self.before = self.most;
+        self.most = own;
+        self.at = Some(now);
+    }
+
+    /// Slots that others use, as far as is known.
+    pub fn foreign(&self, now: Instant) -> u32 {
+        let fresh = self.at.is_some_and(|at| now.saturating_duration_since(at) < Self::KEPT);
+        if fresh { self.foreign } else { 0 }
+    }
+
+    /// When the last report came.
+    pub fn reported(&self) -> Option<Instant> {
+        self.at
+    }
+}
--- a/crates/steer/src/flows/call.rs
+++ b/crates/steer/src/flows/call.rs
@@ -70,12 +70,10 @@
 
     /// What admission needs to know.
     pub fn ticket(&self) -> Ticket {
-        Ticket {
-            class: self.class.clone(),
-            deadline: self.deadline,
-            member: self.member.clone(),
-            urgency: self.rule.urgency,
-        }
+        Ticket::new(self.class.clone(), self.member.clone(), self.deadline)
+            .repeat(self.rule.repeat)
+            .slot_share(self.rule.slot_share)
+            .urgency(self.rule.urgency)
     }
 
     /// Time that the caller still waits.
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod poll_targets;
 mod refusal;
 mod route_request;
 mod run_entry;
@@ -14,6 +15,7 @@
 pub use self::{
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
     call::{Call, Origin},
+    poll_targets::poll_targets,
     refusal::Refusal,
     run_entry::run_entry,
     serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
--- a/crates/steer/src/flows/refusal.rs
+++ b/crates/steer/src/flows/refusal.rs
@@ -15,6 +15,8 @@
     pub detail: String,
     /// Which of the closed list of errors it is.
     pub kind: ErrorKind,
+    /// Seconds after which the caller may try again, where that is known better than by kind.
+    pub wait: Option<u32>,
 }
 
 impl Refusal {
@@ -25,17 +27,30 @@
     /// assert_eq!(Refusal::new(ErrorKind::NoRoom, "full").detail, "full");
     /// ```
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self { detail: detail.into(), kind }
+        Self { detail: detail.into(), kind, wait: None }
     }
 
-    /// The answer that the table gives for the kind.
+    /// Sets the seconds after which the caller may try again.
+    ///
+    /// ```
+    /// use steer::{ErrorKind, Refusal};
+    /// let refusal = Refusal::from(ErrorKind::NoRoom).retry_after(7);
+    /// assert_eq!(refusal.answer().retry_after, Some(7));
+    /// ```
+    pub fn retry_after(mut self, seconds: u32) -> Self {
+        self.wait = Some(seconds);
+        self
+    }
+
+    /// The answer that the table gives for the kind, with the refusal's own waiting time.
     ///
     /// ```
     /// use steer::{ErrorKind, Outcome, Refusal};
     /// assert_eq!(Refusal::new(ErrorKind::NoRoom, "").answer().outcome, Outcome::NotRun);
     /// ```
     pub fn answer(&self) -> Answer {
-        self.kind.answer()
+        let answer = self.kind.answer();
+        self.wait.map_or(answer, |seconds| answer.retry_after(seconds))
     }
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(choose_owner(&PoolKey::new("briefs", "lis-a"), &vms).is_some());
 //! ```
 
+mod admission;
 mod choice;
 mod errors;
 mod flows;
@@ -24,10 +25,11 @@
 mod node;
 mod pool;
 mod ports;
+mod retry;
 mod routing;
 mod settings;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, pool::*, ports::*,
-    routing::*, settings::*,
+    admission::*, choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*,
+    pool::*, ports::*, retry::*, routing::*, settings::*,
 };
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -3,9 +3,10 @@
 use super::EntryPorts;
 use crate::{
     AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
-    LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
-    PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
-    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+    LookupCandidate, LookupVm, MemberWeights, MembershipTable, PeerMessage, PeerRecord, PeerReply,
+    PoolKey, PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath,
+    SettingsQuery, SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner,
+    order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -15,6 +16,7 @@
 };
 use tokio::{sync::watch, time::Instant};
 use tokio_util::task::TaskTracker;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Home regions of client blocks, ready for look-ups.
 #[derive(Debug, Default)]
@@ -149,10 +151,13 @@
         let snapshot = self.snapshot();
         let now = self.ports.clock.now();
         let leaving = lock(&self.leaving).clone();
+        let members = snapshot.fleet().map(|fleet| MemberWeights::new(&fleet.members));
         for service in snapshot.services() {
             let key = PoolKey { service: service.name.clone(), zone: self.vm.zone.clone() };
             let targets = service.settings.targets.iter().filter(|(_, t)| t.zone == key.zone);
-            self.pool(&key).set_targets(targets.map(|(name, target)| {
+            let pool = self.pool(&key);
+            pool.set_members(members.clone().unwrap_or_default());
+            pool.set_targets(targets.map(|(name, target)| {
                 let drained =
                     leaving.contains(name) || snapshot.is_drained(name, &target.zone, now);
                 (name, target, drained)
@@ -168,7 +173,11 @@
 
     /// A pool of this availability zone.
     pub fn pool(&self, key: &PoolKey) -> Arc<TargetPool> {
-        Arc::clone(lock(&self.pools).entry(key.clone()).or_default())
+        let make = || {
+            let seed = xxh3_64(format!("{}/{key}", self.vm.name).as_bytes());
+            Arc::new(TargetPool::new(seed))
+        };
+        Arc::clone(lock(&self.pools).entry(key.clone()).or_insert_with(make))
     }
 
     /// The serving peer that owns a pool; `None` where this VM owns it itself or nobody does.
--- /dev/null
+++ b/crates/steer/tests/pool_under_load.rs
@@ -0,0 +1,326 @@
+//! A pool under load in virtual time, against a naive front: round robin on the last load
+//! report, first come first served, retries without bound.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod support;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    fmt::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use steer::{EntryNode, Origin, serve_request};
+use support::{FakeTargets, quantile, request, serving_node};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+const TARGETS: usize = 12;
+const SLOTS: u32 = 3;
+const WORK: Duration = Duration::from_millis(50);
+/// Time at the start of a run that is not measured.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Time between the load reports that the naive front reads.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Requests of one class and member that arrive at random.
+#[derive(Clone, Copy, Debug)]
+struct Stream {
+    class: &'static str,
+    member: &'static str,
+    /// Part of the pool's slots that the stream fills.
+    load: f64,
+    straggling: f64,
+    work: Duration,
+}
+
+const fn reads(member: &'static str, load: f64) -> Stream {
+    Stream { class: "read", load, member, straggling: 0.0, work: WORK }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    at: Duration,
+    stream: usize,
+    work: Duration,
+}
+
+/// Poisson arrivals of all streams in order of time.
+fn arrivals(streams: &[Stream], length: Duration, seed: u64) -> Vec<Job> {
+    let mut jobs = Vec::new();
+    for (index, stream) in streams.iter().enumerate() {
+        let mut rng = StdRng::seed_from_u64(seed * 100 + index as u64);
+        let slots = (TARGETS as u32 * SLOTS) as f64;
+        let mean = stream.work.as_secs_f64() * (1.0 + 9.0 * stream.straggling);
+        let rate = stream.load * slots / mean;
+        let mut at = 0.0;
+        while at < length.as_secs_f64() {
+            let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+            at -= uniform.ln() / rate;
+            let factor = if rng.random_bool(stream.straggling) { 10.0 } else { 1.0 };
+            let work = stream.work.mul_f64(rng.random_range(0.5..1.5) * factor);
+            jobs.push(Job { at: Duration::from_secs_f64(at), stream: index, work });
+        }
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    job: Job,
+    ran: bool,
+    time: Duration,
+}
+
+/// Who sends the requests on.
+#[derive(Clone, Debug)]
+enum Front {
+    Current(Arc<EntryNode>),
+    Naive(Arc<Naive>),
+}
+
+/// Round robin over the targets that had a free slot in their last load report.
+#[derive(Debug)]
+struct Naive {
+    next: AtomicU32,
+    reports: Vec<AtomicU32>,
+    targets: FakeTargets,
+}
+
+impl Naive {
+    fn new(targets: &FakeTargets) -> Arc<Self> {
+        let reports = targets.0.iter().map(|_| AtomicU32::new(0)).collect();
+        Arc::new(Self { next: AtomicU32::new(0), reports, targets: targets.clone() })
+    }
+
+    fn read_reports(&self) {
+        for (report, target) in self.reports.iter().zip(&self.targets.0) {
+            report.store(target.busy.load(Ordering::Relaxed), Ordering::Relaxed);
+        }
+    }
+
+    fn choose(&self) -> usize {
+        let turn = || self.next.fetch_add(1, Ordering::Relaxed) as usize % TARGETS;
+        let free = |at: &usize| self.reports[*at].load(Ordering::Relaxed) < SLOTS;
+        let first = turn();
+        (0..TARGETS).map(|_| turn()).find(free).unwrap_or(first)
+    }
+
+    /// Sends a request again as often as it takes longer than the deadline, thrice at most.
+    async fn serve(&self, work: Duration, deadline: Duration) -> bool {
+        for _ in 0..3 {
+            let target = &self.targets.0[self.choose()];
+            if timeout(deadline, target.run(work)).await.is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+async fn serve(front: &Front, stream: Stream, work: Duration) -> bool {
+    match front {
+        Front::Current(node) => {
+            let request = request(stream.class, stream.member, work);
+            let Ok(response) = serve_request(node, request, Origin::Caller).await else {
+                return false;
+            };
+            drop(response.into_body());
+            true
+        }
+        Front::Naive(naive) => naive.serve(work, Duration::from_secs(2)).await,
+    }
+}
+
+/// Runs all jobs.
+async fn run(front: Front, streams: &'static [Stream], jobs: Vec<Job>) -> Vec<End> {
+    let start = Instant::now();
+    let reports = front.clone();
+    let reader = tokio::spawn(async move {
+        while let Front::Naive(naive) = &reports {
+            sleep(REPORT_LAG).await;
+            naive.read_reports();
+        }
+    });
+    let mut tasks = JoinSet::new();
+    for job in jobs {
+        sleep_until(start + job.at).await;
+        let front = front.clone();
+        tasks.spawn(async move {
+            let begin = Instant::now();
+            let ran = serve(&front, streams[job.stream], job.work).await;
+            End { job, ran, time: begin.elapsed() }
+        });
+    }
+    let ends = tasks.join_all().await;
+    reader.abort();
+    ends
+}
+
+/// Requests that ran and came after the warm-up.
+fn warm(ends: &[End]) -> impl Iterator<Item = &End> {
+    ends.iter().filter(|end| end.ran && end.job.at >= WARM_UP)
+}
+
+async fn run_current(
+    targets: &FakeTargets,
+    streams: &'static [Stream],
+    length: Duration,
+) -> Vec<End> {
+    let front = Front::Current(serving_node(targets));
+    run(front, streams, arrivals(streams, length, 1)).await
+}
+
+async fn run_naive(
+    targets: &FakeTargets,
+    streams: &'static [Stream],
+    length: Duration,
+) -> Vec<End> {
+    let front = Front::Naive(Naive::new(targets));
+    run(front, streams, arrivals(streams, length, 1)).await
+}
+
+fn p99(ends: &[End], stream: usize) -> Duration {
+    let ran = warm(ends).filter(|end| end.job.stream == stream);
+    quantile(&mut ran.map(|end| end.time).collect::<Vec<_>>(), 0.99)
+}
+
+fn refused(ends: &[End]) -> usize {
+    ends.iter().filter(|end| !end.ran).count()
+}
+
+/// Jain's index of the served work by weight.
+fn jain(ends: &[End], weights: &[f64]) -> f64 {
+    let mut served = vec![0.0; weights.len()];
+    for end in warm(ends) {
+        served[end.job.stream] += end.job.work.as_secs_f64() / weights[end.job.stream];
+    }
+    let sum: f64 = served.iter().sum();
+    let squares: f64 = served.iter().map(|x| x * x).sum();
+    sum * sum / (served.len() as f64 * squares)
+}
+
+#[tokio::test(start_paused = true)]
+async fn keeps_the_tail_short_while_two_of_twelve_targets_are_slowed() {
+    static STREAMS: [Stream; 1] = [reads("m0", 0.5)];
+    let length = Duration::from_secs(20);
+    let mut table = String::new();
+    let even = FakeTargets::new(TARGETS, SLOTS);
+    let unslowed = run_current(&even, &STREAMS, length).await;
+    let slowed = FakeTargets::new(TARGETS, SLOTS);
+    slowed.slow_down(2, 10.0);
+    let current = run_current(&slowed, &STREAMS, length).await;
+    let naive_targets = FakeTargets::new(TARGETS, SLOTS);
+    naive_targets.slow_down(2, 10.0);
+    let naive = run_naive(&naive_targets, &STREAMS, length).await;
+    for (name, ends) in [("unslowed", &unslowed), ("slowed", &current), ("naive", &naive)] {
+        let (p99, refused) = (p99(ends, 0), refused(ends));
+        writeln!(table, "{name:<9} p99 {:>4} ms, refused {refused}", p99.as_millis()).unwrap();
+    }
+    writeln!(table, "most requests over a target's slots: {}", slowed.most_over()).unwrap();
+    insta::assert_snapshot!(table);
+    assert!(p99(&current, 0) <= p99(&unslowed, 0).mul_f64(1.5), "{table}");
+    assert_eq!(slowed.most_over(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn shares_slots_by_weight_while_one_member_floods() {
+    static FLOOD: [Stream; 5] =
+        [reads("m0", 0.4), reads("m1", 0.2), reads("m2", 0.2), reads("m3", 0.2), reads("m4", 1.67)];
+    let length = Duration::from_secs(15);
+    let weights = [2.0, 1.0, 1.0, 1.0, 1.0];
+    let targets = FakeTargets::new(TARGETS, SLOTS);
+    let current = run_current(&targets, &FLOOD, length).await;
+    let naive = run_naive(&FakeTargets::new(TARGETS, SLOTS), &FLOOD, length).await;
+    let mut table = String::new();
+    for (name, ends) in [("current", &current), ("naive", &naive)] {
+        writeln!(table, "{name:<7} Jain {:.3}", jain(ends, &weights)).unwrap();
+    }
+    insta::assert_snapshot!(table);
+    assert!(jain(&current, &weights) >= 0.98, "{table}");
+    assert_eq!(targets.most_over(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn serves_victims_of_a_flood_as_before() {
+    static CALM: [Stream; 4] =
+        [reads("m0", 0.2), reads("m1", 0.1), reads("m2", 0.1), reads("m3", 0.1)];
+    static FLOOD: [Stream; 5] = [CALM[0], CALM[1], CALM[2], CALM[3], reads("m4", 1.67)];
+    let length = Duration::from_secs(15);
+    let calm = run_current(&FakeTargets::new(TARGETS, SLOTS), &CALM, length).await;
+    let flood = run_current(&FakeTargets::new(TARGETS, SLOTS), &FLOOD, length).await;
+    let naive = run_naive(&FakeTargets::new(TARGETS, SLOTS), &FLOOD, length).await;
+    let mut table = String::new();
+    for (stream, member) in CALM.iter().enumerate().map(|(i, s)| (i, s.member)) {
+        let [a, b, c] = [&calm, &flood, &naive].map(|ends| p99(ends, stream).as_millis());
+        writeln!(table, "{member} p99 calm {a} ms, flood {b} ms, naive {c} ms").unwrap();
+        assert!(b * 10 <= a * 12, "{table}");
+    }
+    let victims = flood.iter().filter(|end| end.job.stream < 4 && !end.ran).count();
+    writeln!(table, "victims refused: {victims}").unwrap();
+    insta::assert_snapshot!(table);
+    assert_eq!(victims, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keeps_goodput_through_a_surge_to_twice_the_capacity() {
+    static SURGE: [Stream; 2] = [reads("m0", 1.0), reads("m1", 1.0)];
+    let length = Duration::from_secs(15);
+    let targets = FakeTargets::new(TARGETS, SLOTS);
+    let current = run_current(&targets, &SURGE, length).await;
+    let naive_targets = FakeTargets::new(TARGETS, SLOTS);
+    let naive = run_naive(&naive_targets, &SURGE, length).await;
+    let jobs = arrivals(&SURGE, length, 1).len();
+    let capacity = f64::from(SLOTS) * TARGETS as f64 * (length - WARM_UP).as_secs_f64();
+    let goodput =
+        |ends: &[End]| warm(ends).map(|end| end.job.work.as_secs_f64()).sum::<f64>() / capacity;
+    let refusal = current.iter().filter(|end| !end.ran).map(|end| end.time).max();
+    let ran = current.iter().filter(|end| end.ran).count();
+    let extra = targets.received() as usize + refused(&current);
+    let mut table = String::new();
+    writeln!(table, "goodput current {:.2}, naive {:.2}", goodput(&current), goodput(&naive))
+        .unwrap();
+    writeln!(table, "slowest refusal {} ms", refusal.unwrap().as_millis()).unwrap();
+    writeln!(table, "sent for {jobs} requests: naive {}", naive_targets.received()).unwrap();
+    insta::assert_snapshot!(table);
+    assert!(goodput(&current) >= 0.95, "{table}");
+    assert!(refusal.unwrap() <= Duration::from_millis(50), "{table}");
+    assert!(extra <= jobs + jobs / 10 && ran > 0, "{table}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn keeps_reads_quick_beside_uploads_and_stragglers() {
+    const UPLOAD: Stream = Stream {
+        class: "upload",
+        load: 0.2,
+        member: "m1",
+        straggling: 0.1,
+        work: Duration::from_millis(400),
+    };
+    static READS: [Stream; 1] = [reads("m0", 0.25)];
+    static MIXED: [Stream; 3] = [READS[0], UPLOAD, Stream { class: "cut", member: "m2", ..UPLOAD }];
+    let length = Duration::from_secs(30);
+    let alone = run_current(&FakeTargets::new(TARGETS, SLOTS), &READS, length).await;
+    let targets = FakeTargets::new(TARGETS, SLOTS);
+    let mixed = run_current(&targets, &MIXED, length).await;
+    let naive = run_naive(&FakeTargets::new(TARGETS, SLOTS), &MIXED, length).await;
+    let mut table = String::new();
+    for (name, ends) in [("alone", &alone), ("mixed", &mixed), ("naive", &naive)] {
+        writeln!(table, "{name:<5} reads p99 {} ms", p99(ends, 0).as_millis()).unwrap();
+    }
+    let longest = mixed.iter().filter(|e| e.job.stream > 0).map(|e| e.time).max().unwrap();
+    writeln!(table, "uploads and cuts: {} ms at most", longest.as_millis()).unwrap();
+    writeln!(table, "refused: {}", refused(&mixed)).unwrap();
+    insta::assert_snapshot!(table);
+    assert!(p99(&mixed, 0) <= p99(&alone, 0).mul_f64(1.1), "{table}");
+    assert_eq!(refused(&mixed), 0);
+    assert_eq!(targets.most_over(), 0);
+}
