Hold slot counts, class bounds and retries against tables and random runs

Cause: a cold target got no work while a warm one was idle. Change: the choice goes by all slots, so that cold targets warm up; a target that breaks connections is backed off like one that can't be reached.

--- a/crates/steer/benches/decisions.rs
+++ b/crates/steer/benches/decisions.rs
@@ -26,7 +26,7 @@
     for count in TARGETS {
         let mut rng = StdRng::seed_from_u64(1);
         let targets: Vec<Candidate> = (0..count)
-            .map(|_| Candidate { busy: rng.random_range(0..6), limit: 6, pace: 1.0 })
+            .map(|_| Candidate { busy: rng.random_range(0..6), limit: 6, pace: 1.0, slots: 6 })
             .collect();
         let mut start = 0;
         group.bench_with_input(BenchmarkId::from_parameter(count), &targets, |b, targets| {
--- a/crates/steer/src/choice/target_choice.rs
+++ b/crates/steer/src/choice/target_choice.rs
@@ -9,12 +9,15 @@
     pub limit: u32,
     /// Time of its answers against the pool's other targets, 1 for the same.
     pub pace: f32,
+    /// All of its slots.
+    pub slots: u32,
 }
 
 impl Candidate {
-    /// Cost of one more request: how full the target gets, times its pace.
+    /// Cost of one more request: how full the target gets, times its pace. It goes by all slots,
+    /// so that a cold target gets its part of the requests and warms up.
     fn score(&self) -> f32 {
-        (self.busy + 1) as f32 / self.limit as f32 * self.pace
+        (self.busy + 1) as f32 / self.slots as f32 * self.pace
     }
 }
 
@@ -28,7 +31,7 @@
 ///
 /// ```
 /// use steer::{Candidate, choose_target};
-/// let target = |busy, pace| Candidate { busy, limit: 6, pace };
+/// let target = |busy, pace| Candidate { busy, limit: 6, pace, slots: 6 };
 /// let at = |targets: &[Candidate], start| choose_target(targets.len(), start, |i| targets.get(i).copied());
 /// assert_eq!(at(&[target(3, 1.0), target(1, 1.0)], 0), Some(1));
 /// assert_eq!(at(&[target(3, 1.0), target(1, 4.0)], 0), Some(0));
--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -190,7 +190,13 @@
                     "target" => %permit.target(), "reason" => reason);
                 return Err(Failure::NotSent(back));
             }
-            Err(AttemptError::Sent(sent, kind)) => return Err(Failure::Lost(sent, kind)),
+            Err(AttemptError::Sent(sent, kind)) => {
+                if kind == ErrorKind::TargetFailed {
+                    permit.note_unreachable();
+                    self.count("target.failed");
+                }
+                return Err(Failure::Lost(sent, kind));
+            }
         };
         if let Some(pause) = refusal_pause(&response) {
             permit.note_shed(pause);
--- a/crates/steer/src/pool/permit.rs
+++ b/crates/steer/src/pool/permit.rs
@@ -42,7 +42,7 @@
         self.pool.note_answer(&self.grant);
     }
 
-    /// Notes that the target couldn't be reached.
+    /// Notes that the target couldn't be reached, or broke the connection.
     pub fn note_unreachable(&self) {
         self.pool.note_failure(&self.grant, None);
     }
--- a/crates/steer/src/pool/pool_target.rs
+++ b/crates/steer/src/pool/pool_target.rs
@@ -88,7 +88,7 @@
             return None;
         }
         let limit = self.limit(now, grace);
-        Some(Candidate { busy: self.busy, limit, pace: self.pace.factor() })
+        Some(Candidate { busy: self.busy, limit, pace: self.pace.factor(), slots: self.slots })
     }
 
     /// Whether the target waits for a trial request and could take it.
--- /dev/null
+++ b/crates/steer/tests/pool_rules.rs
@@ -0,0 +1,233 @@
+//! The slots of a pool: never more than there are, none lost, and who may use which.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use quickcheck::{Arbitrary, Gen};
+use std::{fmt::Write, sync::Arc, time::Duration};
+use steer::{
+    LoadReport, MemberName, MemberSettings, MemberWeights, Permit, RepeatRule, TargetName,
+    TargetPool, TargetSettings, Ticket, Urgency,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, advance, sleep},
+};
+
+const CASES: u64 = 150;
+const STEPS: usize = 200;
+
+fn pool_of(targets: usize, slots: u32) -> Arc<TargetPool> {
+    let pool = Arc::new(TargetPool::default());
+    let targets: Vec<(TargetName, TargetSettings)> = (0..targets)
+        .map(|i| {
+            let address = format!("127.0.0.1:{i}").parse().unwrap();
+            let settings = TargetSettings { address, connections: 9, slots, zone: "z".into() };
+            (TargetName::from(format!("t-{i:02}")), settings)
+        })
+        .collect();
+    pool.set_targets(targets.iter().map(|(name, settings)| (name, settings, false)));
+    let members = [("a", 2), ("b", 1)].map(|(n, weight)| (n.into(), MemberSettings { weight }));
+    pool.set_members(MemberWeights::new(members.iter().map(|(n, s): &(MemberName, _)| (n, s))));
+    pool
+}
+
+fn ticket(class: &str, urgency: Urgency, share: f64) -> Ticket {
+    let deadline = Instant::now() + Duration::from_secs(100);
+    Ticket::new(class, "a", deadline).urgency(urgency).slot_share(share)
+}
+
+/// Brings every target to its full limit, also those that are eased out.
+async fn warm_up(pool: &Arc<TargetPool>) {
+    for _ in 0..400 {
+        let read = ticket("read", Urgency::Interactive, 1.0)
+            .bodyless(true)
+            .repeat(RepeatRule::Idempotent);
+        let mut permit = pool.admit(&read).await.unwrap();
+        sleep(Duration::from_millis(5)).await;
+        permit.note_answer();
+    }
+}
+
+fn spawn(pool: &Arc<TargetPool>, ticket: Ticket) -> JoinHandle<Option<Permit>> {
+    let pool = Arc::clone(pool);
+    tokio::spawn(async move { pool.admit(&ticket).await.ok() })
+}
+
+async fn settle() {
+    sleep(Duration::from_millis(1)).await;
+}
+
+/// Permits that a number of requests of one class get at once.
+async fn granted(pool: &Arc<TargetPool>, count: usize, ticket: &Ticket) -> Vec<Permit> {
+    let tasks: Vec<_> = (0..count).map(|_| spawn(pool, ticket.clone())).collect();
+    settle().await;
+    let mut permits = Vec::new();
+    for task in tasks {
+        if task.is_finished() {
+            permits.extend(task.await.unwrap());
+        } else {
+            task.abort();
+        }
+    }
+    settle().await;
+    permits
+}
+
+#[tokio::test(start_paused = true)]
+async fn gives_each_class_its_slots_and_no_more() {
+    let cases = [
+        ("read", Urgency::Interactive, 1.0),
+        ("upload", Urgency::Bulk, 0.67),
+        ("cut", Urgency::Bulk, 0.5),
+        ("all", Urgency::Bulk, 1.0),
+        ("report", Urgency::Deferrable, 1.0),
+    ];
+    let mut table = String::new();
+    for (class, urgency, share) in cases {
+        let pool = pool_of(2, 6);
+        warm_up(&pool).await;
+        sleep(Duration::from_secs(10)).await;
+        let permits = granted(&pool, 40, &ticket(class, urgency, share)).await;
+        let on_first = permits.iter().filter(|p| p.target().as_str() == "t-00").count();
+        let after = granted(&pool, 40, &ticket("read", Urgency::Interactive, 1.0)).await;
+        writeln!(
+            table,
+            "{class:<6} {share:.2}: {:>2} of 12 slots, {on_first} of 6 on one target, {:>2} left for reads",
+            permits.len(),
+            after.len()
+        )
+        .unwrap();
+        assert!(permits.len() + after.len() <= 12);
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refuses_at_once_what_would_end_too_late() {
+    let mut table = String::new();
+    for deadline_ms in [1, 4, 20, 40, 1_000] {
+        let pool = pool_of(1, 2);
+        warm_up(&pool).await;
+        let read = ticket("read", Urgency::Interactive, 1.0);
+        let _held = granted(&pool, 2, &read).await;
+        let _waiting: Vec<_> = (0..8).map(|_| spawn(&pool, read.clone())).collect();
+        settle().await;
+        let start = Instant::now();
+        let mut short = read.clone();
+        short.deadline = start + Duration::from_millis(deadline_ms);
+        let error = tokio::time::timeout(Duration::from_millis(1), pool.admit(&short)).await;
+        let result = match error {
+            Ok(Err(error)) => format!("refused {error}, retry after {} s", error.retry_after()),
+            Ok(Ok(_)) => "granted".to_owned(),
+            Err(_) => "waits".to_owned(),
+        };
+        writeln!(table, "deadline in {deadline_ms:>4} ms: {result}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn load_reports_and_a_new_owner_only_lower_the_free_slots() {
+    let cases = [
+        ("none", false, None),
+        ("new owner", true, None),
+        ("new owner, report of idle", true, Some((0, false))),
+        ("new owner, former one runs 4", true, Some((4, false))),
+        ("report of 4 foreign", false, Some((4, false))),
+        ("report far over the slots", false, Some((900, false))),
+        ("leaving", false, Some((0, true))),
+    ];
+    let mut table = String::new();
+    for (name, takes_over, report) in cases {
+        let pool = pool_of(1, 6);
+        warm_up(&pool).await;
+        sleep(Duration::from_secs(5)).await;
+        pool.take_report(&"t-00".into(), LoadReport::default());
+        pool.take_report(&"t-00".into(), LoadReport::default());
+        advance(Duration::from_millis(10)).await;
+        if takes_over {
+            pool.take_over();
+        }
+        if let Some((busy, leaving)) = report {
+            pool.take_report(&"t-00".into(), LoadReport { busy, leaving, queued: 0 });
+        }
+        let now = pool.room().free;
+        sleep(TargetPool::GRACE + Duration::from_secs(1)).await;
+        writeln!(table, "{name:<29} {now} of 6 free, {} after 3 s", pool.room().free).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Requests that come, wait, are cancelled, answered, dropped, and fail, in random order.
+async fn run_case(seed: u64) {
+    let mut g = Gen::from_size_and_seed(20, seed);
+    let (targets, slots) = (1 + usize::arbitrary(&mut g) % 4, 1 + u32::arbitrary(&mut g) % 4);
+    let pool = pool_of(targets, slots);
+    let mut waiting: Vec<JoinHandle<Option<Permit>>> = Vec::new();
+    let mut held: Vec<Permit> = Vec::new();
+    for _ in 0..STEPS {
+        match u8::arbitrary(&mut g) % 8 {
+            0..=2 => {
+                let urgency =
+                    *g.choose(&[Urgency::Interactive, Urgency::Bulk, Urgency::Deferrable]).unwrap();
+                let class = *g.choose(&["x", "y"]).unwrap();
+                let mut ticket = ticket(&format!("{class}{urgency:?}"), urgency, 0.7)
+                    .bodyless(bool::arbitrary(&mut g))
+                    .repeat(RepeatRule::Idempotent);
+                ticket.member = (*g.choose(&["a", "b", "c"]).unwrap()).into();
+                waiting.push(spawn(&pool, ticket));
+            }
+            3 if !waiting.is_empty() => {
+                let place = usize::arbitrary(&mut g) % waiting.len();
+                waiting.swap_remove(place).abort();
+            }
+            4..=5 if !held.is_empty() => {
+                let place = usize::arbitrary(&mut g) % held.len();
+                let mut permit = held.swap_remove(place);
+                match u8::arbitrary(&mut g) % 8 {
+                    0 => permit.note_unreachable(),
+                    1 => permit.note_shed(None),
+                    2 => {}
+                    _ => permit.note_answer(),
+                }
+            }
+            6 => {
+                let name = TargetName::from(format!("t-{:02}", usize::arbitrary(&mut g) % targets));
+                let busy = u32::arbitrary(&mut g) % 8;
+                let leaving = u8::arbitrary(&mut g).is_multiple_of(8);
+                pool.take_report(&name, LoadReport { busy, leaving, queued: 0 });
+            }
+            _ => advance(Duration::from_millis(u64::arbitrary(&mut g) % 300)).await,
+        }
+        settle().await;
+        let (done, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(JoinHandle::is_finished);
+        waiting = rest;
+        for task in done {
+            held.extend(task.await.ok().flatten());
+        }
+        for index in 0..targets {
+            let name = TargetName::from(format!("t-{index:02}"));
+            let busy = held.iter().filter(|permit| *permit.target() == name).count();
+            assert!(busy <= slots as usize, "seed {seed}: {busy} permits for {slots} slots");
+        }
+    }
+    waiting.iter().for_each(JoinHandle::abort);
+    drop((waiting, held));
+    for index in 0..targets {
+        pool.take_report(&format!("t-{index:02}").as_str().into(), LoadReport::default());
+    }
+    sleep(Duration::from_secs(120)).await;
+    assert_eq!(pool.room().queued, 0, "seed {seed}: a cancelled request still waits");
+    warm_up(&pool).await;
+    sleep(Duration::from_secs(10)).await;
+    let read = ticket("read", Urgency::Interactive, 1.0);
+    let all = granted(&pool, 40, &read).await.len();
+    assert_eq!(all, targets * slots as usize, "seed {seed}: slots were lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn never_gives_more_permits_than_slots_and_loses_none() {
+    for seed in 0..CASES {
+        run_case(seed).await;
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/retry_rules.rs
@@ -0,0 +1,110 @@
+//! What a request's caller is told, and how often it is sent, when targets fail.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod support;
+
+use http::Request;
+use std::{fmt::Write, time::Duration};
+use steer::{Body, Origin, Replay, full_body, serve_request};
+use support::{FakeTargets, Step, request, serving_node};
+
+const WORK: Duration = Duration::from_millis(10);
+
+/// One request to a pool of three targets, each of which does one step at first.
+async fn outcome(step: Step, failing: usize, request: Request<Body>) -> String {
+    let targets = FakeTargets::new(3, 2);
+    let node = serving_node(&targets);
+    // The second target is chosen first.
+    for target in targets.0.iter().cycle().skip(1).take(failing) {
+        target.steps.lock().unwrap().push(step);
+    }
+    let result = serve_request(&node, request, Origin::Caller).await;
+    let received = targets.received();
+    match result {
+        Ok(response) => {
+            let outcome = response.headers()["request-outcome"].to_str().unwrap().to_owned();
+            format!("{} {outcome}, ran {received}", response.status().as_u16())
+        }
+        Err(refusal) => {
+            let answer = refusal.answer();
+            let wait = answer.retry_after.map_or("-".to_owned(), |s| format!("{s} s"));
+            let slug = refusal.kind.slug();
+            format!("{slug} {}, retry after {wait}, ran {received}", answer.outcome)
+        }
+    }
+}
+
+fn with_body(bytes: usize) -> Request<Body> {
+    let (head, _) = request("upload", "m0", WORK).into_parts();
+    Request::from_parts(head, full_body(vec![0; bytes]))
+}
+
+fn once(bytes: usize) -> Request<Body> {
+    let mut request = with_body(bytes);
+    *request.uri_mut() = "http://s.example/once".parse().unwrap();
+    request
+}
+
+#[tokio::test(start_paused = true)]
+async fn sends_again_only_what_is_safe_to_send_again() {
+    let large = Replay::MOST_BYTES as usize + 1;
+    let cases: [(&str, fn(usize) -> Request<Body>, usize); 4] = [
+        ("idempotent, no body", |_| request("read", "m0", WORK), 0),
+        ("idempotent, small body", with_body, 100),
+        ("idempotent, large body", with_body, large),
+        ("at most once, small body", once, 100),
+    ];
+    let steps = [Step::Break, Step::Shed(7), Step::Unreachable];
+    let mut table = String::new();
+    for step in steps {
+        for failing in [1, 3] {
+            for (name, make, bytes) in cases {
+                let result = outcome(step, failing, make(bytes)).await;
+                let step = format!("{step:?}");
+                writeln!(table, "{step:<11} {failing} of 3, {name:<24} {result}").unwrap();
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_a_tenth_of_the_requests() {
+    let targets = FakeTargets::new(3, 2);
+    let node = serving_node(&targets);
+    for target in &targets.0 {
+        *target.steps.lock().unwrap() = vec![Step::Break; 1_000];
+    }
+    for _ in 0..500 {
+        let result = serve_request(&node, request("read", "m0", WORK), Origin::Caller).await;
+        assert!(result.is_err());
+    }
+    let received = targets.received();
+    // Two retries are saved at the start.
+    assert!((501..=500 + 50 + 5 + 2).contains(&received), "{received}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_hedge_ends_a_request_that_hangs() {
+    let targets = FakeTargets::new(3, 2);
+    let node = serving_node(&targets);
+    let start = tokio::time::Instant::now();
+    for _ in 0..200 {
+        let sent = serve_request(&node, request("read", "m0", WORK), Origin::Caller).await;
+        drop(sent.unwrap());
+    }
+    let usual = start.elapsed() / 200;
+    targets.slow_down(1, 100.0);
+    let mut slowest = Duration::ZERO;
+    for _ in 0..20 {
+        let start = tokio::time::Instant::now();
+        let sent = serve_request(&node, request("read", "m0", WORK), Origin::Caller).await;
+        drop(sent.unwrap());
+        slowest = slowest.max(start.elapsed());
+    }
+    assert!(slowest < usual * 4, "usual {usual:?}, slowest {slowest:?}");
+    let busy: u32 =
+        targets.0.iter().map(|t| t.busy.load(std::sync::atomic::Ordering::Relaxed)).sum();
+    assert_eq!(busy, 0, "a cancelled attempt still runs");
+}
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -205,6 +205,7 @@
 const CLASSES: &str = r#"
   "cut": { "deadline_ms": 60000, "matches": [{ "path": "/cut" }], "repeat": "idempotent",
     "slot_share": 0.5, "urgency": "bulk" },
+  "once": { "deadline_ms": 2000, "matches": [{ "path": "/once" }] },
   "read": { "deadline_ms": 2000, "matches": [{ "path": "/read" }], "repeat": "idempotent",
     "urgency": "interactive" },
   "report": { "deadline_ms": 60000, "matches": [{ "path": "/report" }], "repeat": "idempotent",
@@ -267,6 +268,7 @@
 /// A request of a class and member with its service time.
 pub(crate) fn request(class: &str, member: &str, work: Duration) -> Request<Body> {
     Request::get(format!("http://s.example/{class}"))
+        .header("idempotency-key", "k")
         .header("x-member", member)
         .header("x-work-us", work.as_micros() as u64)
         .body(empty_body())
