--- a/crates/steer/src/admission/waiting_line.rs
+++ b/crates/steer/src/admission/waiting_line.rs
@@ -123,9 +123,10 @@
         if !crowded && !is_long {
             return Room::Free;
         }
-        let over = queue.furthest_over().cloned();
-        let Some(over) = over.filter(|over| over != member && !queue.is_over(member, allowed))
-        else {
+        if queue.is_over(member, allowed) {
+            return Room::Full;
+        }
+        let Some(over) = queue.furthest_over().filter(|over| *over != member).cloned() else {
             return Room::Full;
         };
         let is_young = |entry: &Entry<T>| now.saturating_duration_since(entry.since) <= EVICT_AGE;
--- a/crates/steer/src/choice/backoff.rs
+++ b/crates/steer/src/choice/target_backoff.rs
@@ -8,7 +8,7 @@
 /// ```
 /// use std::time::Duration;
 /// use tokio::time::Instant;
-/// let (mut backoff, now) = (steer::Backoff::default(), Instant::now());
+/// let (mut backoff, now) = (steer::TargetBackoff::default(), Instant::now());
 /// backoff.note_failure(now, None, 1.0);
 /// assert_eq!(backoff.until(), Some(now + Duration::from_millis(100)));
 /// backoff.note_failure(now, None, 1.0);
@@ -17,12 +17,12 @@
 /// assert_eq!(backoff.until(), None);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Backoff {
+pub struct TargetBackoff {
     failures: u32,
     until: Option<Instant>,
 }
 
-impl Backoff {
+impl TargetBackoff {
     /// Pause after the first failure.
     pub const FIRST: Duration = Duration::from_millis(100);
     /// Longest pause that the doubling leads to.
--- a/crates/steer/src/choice/target_choice.rs
+++ b/crates/steer/src/choice/target_choice.rs
@@ -2,7 +2,7 @@
 
 /// A target as the choice sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Candidate {
+pub struct TargetCandidate {
     /// Own requests under way.
     pub busy: u32,
     /// Slots that may be used now.
@@ -13,7 +13,7 @@
     pub slots: u32,
 }
 
-impl Candidate {
+impl TargetCandidate {
     /// Cost of one more request: how full the target gets, times its pace. It goes by all slots,
     /// so that a cold target gets its part of the requests and warms up.
     fn score(&self) -> f32 {
@@ -30,9 +30,9 @@
 /// take turns, and ends after enough targets with room, so that a large pool costs no more.
 ///
 /// ```
-/// use steer::{Candidate, choose_target};
-/// let target = |busy, pace| Candidate { busy, limit: 6, pace, slots: 6 };
-/// let at = |targets: &[Candidate], start| choose_target(targets.len(), start, |i| targets.get(i).copied());
+/// use steer::{TargetCandidate, choose_target};
+/// let target = |busy, pace| TargetCandidate { busy, limit: 6, pace, slots: 6 };
+/// let at = |targets: &[TargetCandidate], start| choose_target(targets.len(), start, |i| targets.get(i).copied());
 /// assert_eq!(at(&[target(3, 1.0), target(1, 1.0)], 0), Some(1));
 /// assert_eq!(at(&[target(3, 1.0), target(1, 4.0)], 0), Some(0));
 /// assert_eq!(at(&[target(2, 1.0), target(2, 1.0)], 1), Some(1));
@@ -41,7 +41,7 @@
 pub fn choose_target(
     len: usize,
     start: usize,
-    candidate: impl Fn(usize) -> Option<Candidate>,
+    candidate: impl Fn(usize) -> Option<TargetCandidate>,
 ) -> Option<usize> {
     let start = start % len.max(1);
     (start..len)
--- a/crates/steer/src/choice/target_pace.rs
+++ b/crates/steer/src/choice/target_pace.rs
@@ -22,32 +22,36 @@
 /// ```
 /// use std::time::Duration;
 /// use steer::{TargetPace, reference_pace};
+/// let now = tokio::time::Instant::now();
 /// let (mut fast, mut slow) = (TargetPace::default(), TargetPace::default());
 /// for _ in 0..4 {
-///     fast.record(0, Duration::from_millis(20));
-///     slow.record(0, Duration::from_millis(200));
+///     fast.record(now, 0, Duration::from_millis(20));
+///     slow.record(now, 0, Duration::from_millis(200));
 /// }
 /// let reference = reference_pace([&fast, &slow].into_iter(), 0);
 /// slow.compare(0, reference);
-/// assert!(slow.is_slow(tokio::time::Instant::now()));
+/// assert!(slow.is_slow(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct TargetPace {
     classes: Vec<Pace>,
     factor: f32,
+    last: Option<Instant>,
     /// Sorted by the time from which they are overdue, those without one last.
     open: Vec<Outstanding>,
 }
 
 impl Default for TargetPace {
     fn default() -> Self {
-        Self { classes: Vec::new(), factor: 1.0, open: Vec::new() }
+        Self { classes: Vec::new(), factor: 1.0, last: None, open: Vec::new() }
     }
 }
 
 impl TargetPace {
     /// Factor on the others' times from which a target counts as slowed.
     pub const SLOW: f32 = 2.5;
+    /// Time for which the times count when no new ones come.
+    const KEPT: Duration = Duration::from_secs(5);
     /// Factor on the others' times after which a request under way is overdue.
     const OVERDUE: f32 = 4.0;
     /// Time that a request may take beyond the factor before it is overdue.
@@ -74,7 +78,8 @@
     }
 
     /// Records the time from sending a request to the head of its answer.
-    pub fn record(&mut self, class: usize, time: Duration) {
+    pub fn record(&mut self, now: Instant, class: usize, time: Duration) {
+        self.last = Some(now);
         if self.classes.len() <= class {
             self.classes.resize(class + 1, Pace::default());
         }
@@ -116,10 +121,20 @@
         self.open.get(needed - 1)?.due
     }
 
+    /// Forgets times that are old: a target that seemed a little slower, and got no work since,
+    /// is tried again like the others.
+    pub fn forget_old(&mut self, now: Instant) {
+        let old = |last: Instant| now.saturating_duration_since(last) >= Self::KEPT;
+        if self.last.is_some_and(old) {
+            self.forget();
+        }
+    }
+
     /// Forgets the times, so that the target is judged anew.
     pub fn forget(&mut self) {
         self.classes.clear();
         self.factor = 1.0;
+        self.last = None;
     }
 }
 
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -1,6 +1,7 @@
 //! The flows: one straight async function for each life.
 
 mod attempt;
+mod backoff;
 mod call;
 mod poll_targets;
 mod refusal;
@@ -14,6 +15,7 @@
 
 pub use self::{
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
+    backoff::Backoff,
     call::{Call, Origin},
     poll_targets::poll_targets,
     refusal::Refusal,
--- a/crates/steer/src/pool/pool_state.rs
+++ b/crates/steer/src/pool/pool_state.rs
@@ -128,7 +128,8 @@
         let most = EaseOut::most_out(in_service.clone().count());
         let mut out = in_service.filter(|t| t.ease.is_out()).count();
         for place in 0..self.targets.len() {
-            let target = &self.targets[place];
+            let target = &mut self.targets[place];
+            target.pace.forget_old(now);
             let slow = target.is_in_service() && target.pace.is_slow(now);
             if out >= most || !slow || target.ease.is_out() {
                 continue;
@@ -342,7 +343,7 @@
         let jitter = self.jitter();
         let Some(target) = self.target(&grant.target) else { return };
         if !grant.trial {
-            target.pace.record(grant.class, time);
+            target.pace.record(now, grant.class, time);
             target.pace.compare(grant.class, reference);
             return;
         }
--- a/crates/steer/src/pool/pool_target.rs
+++ b/crates/steer/src/pool/pool_target.rs
@@ -1,7 +1,7 @@
 //! What a pool knows about one of its targets.
 
 use crate::{
-    Backoff, Candidate, EaseOut, LoadCorrection, LoadReport, TargetName, TargetPace,
+    EaseOut, LoadCorrection, LoadReport, TargetBackoff, TargetCandidate, TargetName, TargetPace,
     TargetSettings, WarmUp,
 };
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub(super) struct PoolTarget {
     pub(super) address: SocketAddr,
-    pub(super) backoff: Backoff,
+    pub(super) backoff: TargetBackoff,
     pub(super) busy: u32,
     pub(super) classes: Vec<u32>,
     pub(super) correction: LoadCorrection,
@@ -28,7 +28,7 @@
     pub(super) fn new(name: TargetName, settings: &TargetSettings) -> Self {
         Self {
             address: settings.address,
-            backoff: Backoff::default(),
+            backoff: TargetBackoff::default(),
             busy: 0,
             classes: Vec::new(),
             correction: LoadCorrection::default(),
@@ -82,13 +82,18 @@
         grace: Option<Instant>,
         class: usize,
         bound: u32,
-    ) -> Option<Candidate> {
+    ) -> Option<TargetCandidate> {
         let held = self.classes.get(class).copied().unwrap_or_default();
         if held >= bound {
             return None;
         }
         let limit = self.limit(now, grace);
-        Some(Candidate { busy: self.busy, limit, pace: self.pace.factor(), slots: self.slots })
+        Some(TargetCandidate {
+            busy: self.busy,
+            limit,
+            pace: self.pace.factor(),
+            slots: self.slots,
+        })
     }
 
     /// Whether the target waits for a trial request and could take it.
