--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod backoff;
 mod call;
+mod poll_targets;
 mod refusal;
 mod route_request;
 mod run_entry;
@@ -16,6 +17,7 @@
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
     backoff::Backoff,
     call::{Call, Origin},
+    poll_targets::poll_targets,
     refusal::Refusal,
     run_entry::run_entry,
     serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
