--- a/crates/steer/src/membership/node_membership.rs
+++ b/crates/steer/src/membership/node_membership.rs
@@ -327,6 +327,11 @@
         (!versions.is_empty()).then_some(SettingsQuery { named: true, versions })
     }
 
+    /// Names of the peers that take new work, sorted.
+    pub fn serving_peers(&self) -> Vec<VmName> {
+        self.members().serving(Instant::now()).map(|p| p.vm.name.clone()).collect()
+    }
+
     /// A peer at an address.
     pub fn peer_at(&self, address: SocketAddr) -> Option<PeerRecord> {
         self.members().at(address).cloned()
--- /dev/null
+++ b/crates/steer/tests/membership_faults.rs
@@ -0,0 +1,170 @@
+//! What a fleet does while parts of it fail; all times are of the paused clock.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use fleet::{Fleet, serving_peers, shown, to_listed, version};
+use slog::{Discard, Logger, o};
+use std::{fmt::Write, sync::Arc, time::Duration};
+use steer::{EntryNode, SettingsPath, TeamName, Vm, VmState};
+use tokio::time::{advance, sleep};
+
+const SHAPE: (usize, usize) = (2, 2);
+const BOUND: Duration = Duration::from_secs(2);
+const HEAL_BOUND: Duration = Duration::from_secs(7);
+
+async fn joined_fleet() -> Fleet {
+    let fleet = Fleet::start(3, SHAPE.0, SHAPE.1).await;
+    fleet.until_joined().await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    fleet
+}
+
+fn cut_zone(fleet: &Fleet, zone: &str) {
+    for other in (0..6).map(|n| format!("zone-{n}")).filter(|other| other != zone) {
+        fleet.network.cut(zone, &other);
+    }
+    fleet.network.cut(zone, "platform");
+}
+
+/// Adds a row and checks its bound.
+fn note(table: &mut String, what: &str, time: Option<Duration>, bound: Duration) {
+    writeln!(table, "{what:<58} {}", shown(time)).unwrap();
+    assert!(time.is_some_and(|t| t <= bound), "{table}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn settings_spread_and_never_revert_under_faults() {
+    let mut table = String::new();
+    let mut fleet = joined_fleet().await;
+
+    let watcher = (0..2).find(|n| fleet.node(*n).is_delegate()).unwrap();
+    fleet.kill(watcher);
+    let new = fleet.change(1);
+    let time = fleet.until(|n| version(n) == new).await;
+    note(&mut table, "a watcher of a zone dies as settings change", time, BOUND);
+
+    cut_zone(&fleet, "zone-5");
+    let new = fleet.change(2);
+    let time = fleet.until(|n| version(n) == new || n.vm().zone.as_str() == "zone-5").await;
+    note(&mut table, "settings change while a zone is cut off", time, BOUND);
+    sleep(Duration::from_secs(5)).await;
+    let behind = fleet.node(11);
+    let held = (version(behind) < new, behind.state(), serving_peers(behind));
+    writeln!(table, "  the zone serves with older settings and its own VMs: {held:?}").unwrap();
+    fleet.network.heal();
+    let time = fleet.until(|n| version(n) == new && serving_peers(n).len() == 10).await;
+    note(&mut table, "it heals, catches up and is known to all", time, HEAL_BOUND);
+
+    let network = Arc::clone(&fleet.network);
+    let platform = &network.platform;
+    platform.save();
+    let newest = fleet.change(3);
+    fleet.until(|n| version(n) == newest).await.unwrap();
+    platform.go_back();
+    sleep(Duration::from_secs(70)).await;
+    let time = fleet.until(|n| version(n) == newest).await;
+    note(&mut table, "the platform comes back with an older store", time, BOUND);
+
+    *platform.down.lock().unwrap() = true;
+    sleep(Duration::from_secs(5)).await;
+    let old = fleet.kill(4);
+    let seed = fleet.node(2).vm().addresses.peers;
+    fleet.run(4, SHAPE, &[seed]);
+    let new_vm = fleet.node(4).clone();
+    let serving = fleet.until(|_| new_vm.state() == VmState::Serving).await;
+    note(&mut table, "a VM is replaced while the platform is down, and serves", serving, BOUND);
+    let same = version(&new_vm) == newest && new_vm.vm().incarnation > old.vm().incarnation;
+    writeln!(table, "  with the newest settings, as a newer incarnation: {same}").unwrap();
+    assert!(!fleet.node(2).hear(old.heartbeat()), "an older incarnation is refused");
+    let calls = *platform.calls.lock().unwrap();
+    sleep(Duration::from_secs(60)).await;
+    let calls = *platform.calls.lock().unwrap() - calls;
+    writeln!(table, "calls to the platform in a minute of outage: below 1500: {}", calls < 1500)
+        .unwrap();
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn watches_that_skip_and_deletions_reach_all() {
+    let mut table = String::new();
+    let fleet = joined_fleet().await;
+    let platform = &fleet.network.platform;
+
+    let path = SettingsPath::Team(TeamName::from("a"));
+    let text = r#"{ "services": {} }"#;
+    let team = platform.put("settings/teams/a", text);
+    let held = |n: &EntryNode| n.with_tree(|tree| tree.version(&path)).unwrap_or_default();
+    let time = fleet.until(|n| held(n) == team).await;
+    note(&mut table, "a team's settings are new", time, BOUND);
+    let deleted = platform.set("settings/teams/a", None);
+    let time = fleet.until(|n| held(n) == deleted).await;
+    note(&mut table, "they are deleted", time, BOUND);
+
+    let before = version(fleet.node(0));
+    platform.set("settings/fleet", None);
+    sleep(Duration::from_secs(3)).await;
+    let kept = fleet.vms.values().all(|vm| version(&vm.node) == before);
+    writeln!(table, "the fleet's settings are deleted; the last stay in force: {kept}").unwrap();
+
+    *platform.skips.lock().unwrap() = true;
+    let new = fleet.change(7);
+    sleep(Duration::from_secs(3)).await;
+    *platform.skips.lock().unwrap() = false;
+    sleep(Duration::from_secs(60)).await;
+    let time = fleet.until(|n| version(n) == new).await;
+    note(&mut table, "all watches skipped a change; a minute later it is in force", time, BOUND);
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_false_suspicion_is_refuted() {
+    let fleet = Fleet::start(1, 1, 4).await;
+    fleet.until_joined().await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    fleet.network.cut("vm-000", "vm-001");
+    let mut left_out = 0;
+    for _ in 0..500 {
+        sleep(Duration::from_millis(20)).await;
+        left_out += usize::from(fleet.vms.values().any(|vm| serving_peers(&vm.node).len() != 3));
+    }
+    let refuted: Vec<bool> = (0..4).map(|n| fleet.node(n).heartbeat().refutation > 0).collect();
+    insta::assert_snapshot!(format!("left out in {left_out} of 500 looks; refuted: {refuted:?}"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_paused_vm_does_not_blame_others() {
+    let mut fleet = Fleet::start(1, 1, 3).await;
+    fleet.until_joined().await.unwrap();
+    let node = fleet.node(0).clone();
+    for number in 0..3 {
+        fleet.vms.remove(&number).unwrap().task.abort();
+    }
+    let pauses = node.watch_pauses();
+    sleep(Duration::from_millis(100)).await;
+    node.sweep();
+    let before = (serving_peers(&node).len(), *pauses.borrow());
+    advance(Duration::from_secs(30)).await;
+    let on_waking = serving_peers(&node).len();
+    node.sweep();
+    let after = (serving_peers(&node).len(), *pauses.borrow());
+    insta::assert_snapshot!(format!("before {before:?}, on waking {on_waking}, after {after:?}"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_at_a_reused_address_ends_the_one_before() {
+    let fleet = Fleet::start(1, 1, 3).await;
+    fleet.until_joined().await.unwrap();
+    let node = fleet.node(0);
+    let mut beat = fleet.node(1).heartbeat();
+    beat.vm.name = "vm-new".into();
+    beat.vm.incarnation += 1000;
+    assert!(node.hear(beat.clone()));
+    assert_eq!(serving_peers(node), ["vm-002", "vm-new"]);
+    let listed = to_listed(&beat.vm);
+    assert_eq!(listed.address, fleet.node(1).vm().addresses.peers);
+    let (_, state) = Vm::join();
+    let lone = EntryNode::new(beat.vm, node.ports().clone(), state, Logger::root(Discard, o!()));
+    assert!(serving_peers(&lone).is_empty());
+}
