--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -40,7 +40,8 @@
     samples::{Sample, Samples, Sampling},
     scenario::{Action, Policy, Scenario},
     stand_ins::{
-        LinkStandIn, PlatformStandIn, RelaySwitch, RunRecord, TargetControls, TargetStandIn,
+        LinkStandIn, PlatformFaults, PlatformStandIn, RelaySwitch, RunRecord, TargetControls,
+        TargetStandIn,
     },
     workload::{Workload, workloads},
 };
--- a/crates/lab/src/stand_ins/mod.rs
+++ b/crates/lab/src/stand_ins/mod.rs
@@ -2,10 +2,13 @@
 
 mod link;
 mod platform;
+mod platform_faults;
+mod platform_store;
 mod target;
 
 pub use self::{
     link::{LinkStandIn, RelaySwitch},
     platform::PlatformStandIn,
+    platform_faults::PlatformFaults,
     target::{RunRecord, TargetControls, TargetStandIn},
 };
--- a/crates/lab/src/stand_ins/platform.rs
+++ b/crates/lab/src/stand_ins/platform.rs
@@ -1,11 +1,14 @@
 //! The platform's object API and VM list, held in memory.
 
-use adapters::{Listener, ListenerLimits, PlatformBatch, PlatformObjectBody, PlatformVmBody};
+use super::{platform_faults::PlatformFaults, platform_store::PlatformStore};
+use adapters::{Listener, ListenerLimits, PlatformVmBody};
+use bytes::Bytes;
 use http::{
-    Method, Request, Response, StatusCode,
-    header::{ETAG, IF_MATCH, IF_NONE_MATCH},
+    HeaderValue, Method, Request, Response, StatusCode,
+    header::{ETAG, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER},
 };
-use http_body_util::BodyExt;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use std::{
     collections::BTreeMap,
     io,
@@ -13,42 +16,21 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use steer::{Body, empty_body, full_body};
-use tokio::{sync::watch, time::timeout};
+use steer::{Body, BodyError, empty_body, full_body};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// Largest value in bytes.
 const MAX_VALUE: usize = 1 << 20;
 
-#[derive(Debug, Default)]
-struct Store {
-    calls: BTreeMap<&'static str, u64>,
-    objects: BTreeMap<String, Vec<PlatformObjectBody>>,
-    revision: u64,
-    vms: Vec<PlatformVmBody>,
-}
-
-impl Store {
-    fn current(&self, path: &str) -> Option<&PlatformObjectBody> {
-        self.objects.get(path)?.last().filter(|object| object.value.is_some())
-    }
-
-    fn changes(&self, prefix: &str, after: u64) -> PlatformBatch {
-        let newest = self.objects.range(prefix.to_owned()..);
-        let objects = newest
-            .take_while(|(path, _)| path.starts_with(prefix))
-            .filter_map(|(_, versions)| versions.last())
-            .filter(|object| object.version > after)
-            .cloned()
-            .collect();
-        PlatformBatch { objects, revision: self.revision }
-    }
-}
-
 /// The platform in memory.
 #[derive(Debug, Default)]
 pub struct PlatformStandIn {
     changed: watch::Sender<u64>,
-    store: Mutex<Store>,
+    faults: Mutex<PlatformFaults>,
+    store: Mutex<PlatformStore>,
 }
 
 impl PlatformStandIn {
@@ -72,31 +54,44 @@
         Ok(())
     }
 
-    fn lock(&self) -> MutexGuard<'_, Store> {
+    fn lock(&self) -> MutexGuard<'_, PlatformStore> {
         self.store.lock().expect("no holder of the platform's lock panics")
     }
 
+    /// Changes how the platform fails.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        *self.faults.lock().expect("no holder of the faults' lock panics") = faults;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// How the platform fails now.
+    pub fn faults(&self) -> PlatformFaults {
+        *self.faults.lock().expect("no holder of the faults' lock panics")
+    }
+
     /// Writes an object as an operator would, whatever stands there.
     pub fn put(&self, path: &str, value: &str, author: &str) -> u64 {
-        let mut store = self.lock();
-        store.revision += 1;
-        let version = store.revision;
-        let object = PlatformObjectBody {
-            author: author.to_owned(),
-            path: path.to_owned(),
-            time: String::new(),
-            value: Some(value.to_owned()),
-            version,
-        };
-        store.objects.entry(path.to_owned()).or_default().push(object);
-        drop(store);
+        let version = self.lock().put(path, Some(value), author);
+        self.changed.send_replace(version);
+        version
+    }
+
+    /// Deletes an object; the deletion is a version of its own.
+    pub fn delete(&self, path: &str, author: &str) -> u64 {
+        let version = self.lock().put(path, None, author);
         self.changed.send_replace(version);
         version
     }
 
+    /// Goes back to the state at a revision.
+    pub fn go_back(&self, revision: u64) {
+        self.lock().go_back(revision);
+        self.changed.send_replace(revision);
+    }
+
     /// Replaces the list of VMs.
     pub fn set_vms(&self, vms: Vec<PlatformVmBody>) {
-        self.lock().vms = vms;
+        self.lock().set_vms(vms);
     }
 
     /// Calls so far, by kind.
@@ -104,71 +99,95 @@
         self.lock().calls.clone()
     }
 
-    fn note(&self, kind: &'static str) {
-        *self.lock().calls.entry(kind).or_default() += 1;
+    /// Counts a call, and refuses it where the platform is down or called too often.
+    fn refusal(&self, kind: &'static str, faults: &PlatformFaults) -> Option<Response<Body>> {
+        let mut store = self.lock();
+        *store.calls.entry(kind).or_default() += 1;
+        let admitted = match kind {
+            "write" => store.admit_write(faults.write_rate),
+            _ => store.admit_read(faults.read_rate),
+        };
+        if faults.outage {
+            return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        if admitted {
+            return None;
+        }
+        let mut response = status(StatusCode::TOO_MANY_REQUESTS);
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        Some(response)
     }
 
     async fn answer(&self, request: Request<Body>) -> Response<Body> {
+        let faults = self.faults();
         let path = request.uri().path().to_owned();
-        let query = request.uri().query().unwrap_or_default().to_owned();
-        if path == "/v1/vms" {
-            self.note("vms");
-            return json(&self.lock().vms);
-        }
-        if let Some(prefix) = path.strip_prefix("/v1/list/") {
-            self.note("list");
-            return json(&self.lock().changes(prefix, 0));
-        }
-        if let Some(prefix) = path.strip_prefix("/v1/watch/") {
-            self.note("watch");
-            return json(&self.watch(prefix, &query).await);
-        }
-        if let Some(path) = path.strip_prefix("/v1/history/") {
-            self.note("history");
-            let store = self.lock();
-            let objects = store.objects.get(path).into_iter().flatten().rev().cloned().collect();
-            return json(&PlatformBatch { objects, revision: store.revision });
+        let call = PlatformCall::parse(request.method(), &path);
+        let Some(call) = call else { return status(StatusCode::NOT_FOUND) };
+        sleep(faults.delay).await;
+        if let Some(refusal) = self.refusal(call.kind(), &faults) {
+            return refusal;
         }
-        match (request.method(), path.strip_prefix("/v1/objects/")) {
-            (&Method::GET, Some(path)) => {
-                self.note("read");
-                self.read(path)
+        match call {
+            PlatformCall::History(path) => json(&self.lock().history(path)),
+            PlatformCall::List(prefix) => json(&self.lock().changes(prefix, 0, faults.read_lag)),
+            PlatformCall::Read(path) => self.read(path, &faults),
+            PlatformCall::Vms => json(&self.lock().vms(faults.list_lag)),
+            PlatformCall::Watch(prefix) => {
+                let query = request.uri().query().unwrap_or_default().to_owned();
+                self.watch(prefix, &query).await
             }
-            (&Method::PUT, Some(path)) => {
-                self.note("write");
-                self.write(path, request).await
-            }
-            _ => status(StatusCode::NOT_FOUND),
+            PlatformCall::Write(path) => self.write(path, request, &faults).await,
         }
     }
 
-    async fn watch(&self, prefix: &str, query: &str) -> PlatformBatch {
+    async fn watch(&self, prefix: &str, query: &str) -> Response<Body> {
         let number = |name: &str| {
             let value = query.split('&').find_map(|pair| pair.strip_prefix(name));
             value.and_then(|v| v.parse().ok()).unwrap_or_default()
         };
         let (after, wait) = (number("after="), Duration::from_millis(number("wait_ms=")));
         let mut changed = self.changed.subscribe();
-        let found = timeout(wait, async {
+        let waiting = timeout(wait, async {
             loop {
-                let batch = self.lock().changes(prefix, after);
-                if !batch.objects.is_empty() || changed.changed().await.is_err() {
-                    return batch;
+                let batch = self.lock().changes(prefix, after, Duration::ZERO);
+                let back = batch.revision < after;
+                if !batch.objects.is_empty() || back || self.faults().outage {
+                    return;
+                }
+                if changed.changed().await.is_err() {
+                    return;
                 }
             }
         });
-        found.await.unwrap_or_else(|_| self.lock().changes(prefix, after))
+        drop(waiting.await);
+        let faults = self.faults();
+        if faults.outage {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let from = if faults.repeat { 0 } else { after };
+        let mut batch = self.lock().changes(prefix, from, Duration::ZERO);
+        if faults.skip {
+            batch.objects.clear();
+        }
+        json(&batch)
     }
 
-    fn read(&self, path: &str) -> Response<Body> {
+    fn read(&self, path: &str, faults: &PlatformFaults) -> Response<Body> {
         let store = self.lock();
-        let Some(object) = store.current(path) else { return status(StatusCode::NOT_FOUND) };
+        let Some(object) = store.current(path, faults.read_lag) else {
+            return status(StatusCode::NOT_FOUND);
+        };
         let mut response = Response::new(full_body(object.value.clone().unwrap_or_default()));
         set_version(&mut response, object.version);
         response
     }
 
-    async fn write(&self, path: &str, request: Request<Body>) -> Response<Body> {
+    async fn write(
+        &self,
+        path: &str,
+        request: Request<Body>,
+        faults: &PlatformFaults,
+    ) -> Response<Body> {
         let (head, body) = request.into_parts();
         let header = |name| {
             let value = head.headers.get(name)?;
@@ -187,8 +206,9 @@
         let Ok(value) = std::str::from_utf8(&bytes) else {
             return status(StatusCode::BAD_REQUEST);
         };
-        let current = self.lock().current(path).map(|object| object.version);
         let expected = if if_absent { None } else { if_match };
+        let mut store = self.lock();
+        let current = store.current(path, Duration::ZERO).map(|object| object.version);
         if current != expected {
             let mut response = status(StatusCode::PRECONDITION_FAILED);
             if let Some(version) = current {
@@ -196,13 +216,65 @@
             }
             return response;
         }
-        let version = self.put(path, value, &author);
+        let version = store.put(path, Some(value), &author);
+        let writes = store.calls.get("write").copied().unwrap_or_default();
+        drop(store);
+        self.changed.send_replace(version);
+        if faults.lose_every > 0 && writes.is_multiple_of(faults.lose_every) {
+            return Response::new(broken_body());
+        }
         let mut response = status(StatusCode::OK);
         set_version(&mut response, version);
         response
     }
 }
 
+/// A call of the platform's API.
+enum PlatformCall<'a> {
+    History(&'a str),
+    List(&'a str),
+    Read(&'a str),
+    Vms,
+    Watch(&'a str),
+    Write(&'a str),
+}
+
+impl<'a> PlatformCall<'a> {
+    fn parse(method: &Method, path: &'a str) -> Option<Self> {
+        let path = path.strip_prefix("/v1/")?;
+        if path == "vms" {
+            return Some(Self::Vms);
+        }
+        let (kind, rest) = path.split_once('/')?;
+        match (kind, method) {
+            ("history", _) => Some(Self::History(rest)),
+            ("list", _) => Some(Self::List(rest)),
+            ("objects", &Method::GET) => Some(Self::Read(rest)),
+            ("objects", &Method::PUT) => Some(Self::Write(rest)),
+            ("watch", _) => Some(Self::Watch(rest)),
+            _ => None,
+        }
+    }
+
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::History(_) => "history",
+            Self::List(_) => "list",
+            Self::Read(_) => "read",
+            Self::Vms => "vms",
+            Self::Watch(_) => "watch",
+            Self::Write(_) => "write",
+        }
+    }
+}
+
+/// A body that breaks off before its end.
+fn broken_body() -> Body {
+    let broken = BodyError { reason: "the answer is lost".to_owned() };
+    let frames = futures_util::stream::iter([Err::<Frame<Bytes>, BodyError>(broken)]);
+    StreamBody::new(frames).boxed_unsync()
+}
+
 fn status(code: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty_body());
     *response.status_mut() = code;
--- /dev/null
+++ b/crates/lab/src/stand_ins/platform_faults.rs
@@ -0,0 +1,116 @@
+//! How the platform's stand-in fails.
+
+use std::time::Duration;
+
+/// Faults of the platform; they can be changed while it runs.
+///
+/// ```
+/// use lab::PlatformFaults;
+/// use std::time::Duration;
+/// let faults = PlatformFaults::new().delay(Duration::from_millis(300)).lose_answers(3);
+/// assert!(!faults.is_down());
+/// assert!(faults.outage(true).is_down());
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformFaults {
+    pub(super) delay: Duration,
+    pub(super) list_lag: Duration,
+    pub(super) lose_every: u64,
+    pub(super) outage: bool,
+    pub(super) read_lag: Duration,
+    pub(super) read_rate: u64,
+    pub(super) repeat: bool,
+    pub(super) skip: bool,
+    pub(super) write_rate: u64,
+}
+
+impl Default for PlatformFaults {
+    fn default() -> Self {
+        Self {
+            delay: Duration::ZERO,
+            list_lag: Duration::ZERO,
+            lose_every: 0,
+            outage: false,
+            read_lag: Duration::ZERO,
+            read_rate: 2000,
+            repeat: false,
+            skip: false,
+            write_rate: 500,
+        }
+    }
+}
+
+impl PlatformFaults {
+    /// No faults, and the rates of the real platform.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether every call fails.
+    pub fn is_down(&self) -> bool {
+        self.outage
+    }
+
+    /// Delays each answer.
+    #[must_use]
+    pub fn delay(mut self, delay: Duration) -> Self {
+        self.delay = delay;
+        self
+    }
+
+    /// Shows the list of VMs as it was some time ago.
+    #[must_use]
+    pub fn list_lag(mut self, lag: Duration) -> Self {
+        self.list_lag = lag;
+        self
+    }
+
+    /// Loses the answer of every n-th write, which takes effect all the same; 0 loses none.
+    #[must_use]
+    pub fn lose_answers(mut self, every: u64) -> Self {
+        self.lose_every = every;
+        self
+    }
+
+    /// Fails every call.
+    #[must_use]
+    pub fn outage(mut self, outage: bool) -> Self {
+        self.outage = outage;
+        self
+    }
+
+    /// Shows objects in reads and lists as they were some time ago.
+    #[must_use]
+    pub fn read_lag(mut self, lag: Duration) -> Self {
+        self.read_lag = lag;
+        self
+    }
+
+    /// Most reads a second; a waiting watch counts as one.
+    #[must_use]
+    pub fn read_rate(mut self, rate: u64) -> Self {
+        self.read_rate = rate;
+        self
+    }
+
+    /// Watches give objects again that were given before.
+    #[must_use]
+    pub fn repeat_watches(mut self, repeat: bool) -> Self {
+        self.repeat = repeat;
+        self
+    }
+
+    /// Watches pass over changes.
+    #[must_use]
+    pub fn skip_watches(mut self, skip: bool) -> Self {
+        self.skip = skip;
+        self
+    }
+
+    /// Most writes a second.
+    #[must_use]
+    pub fn write_rate(mut self, rate: u64) -> Self {
+        self.write_rate = rate;
+        self
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/platform_guard.rs
@@ -0,0 +1,40 @@
+//! The guard spares a platform that fails and notices soon when it is back.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use fleet::{FakePlatform, Network};
+use std::{fmt::Write, sync::Arc, time::Duration};
+use steer::{GuardedPlatform, NoMeter, Platform};
+use tokio::time::{Instant, sleep};
+
+#[tokio::test(start_paused = true)]
+async fn an_hour_of_outage_costs_few_calls_and_ends_soon() {
+    let mut table = String::new();
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        let network = Arc::new(Network::default());
+        let port = GuardedPlatform::new(FakePlatform::view(&network, "z"), Arc::new(NoMeter), name);
+        let calls = || *network.platform.calls.lock().unwrap();
+        port.read("a").await.unwrap();
+        *network.platform.down.lock().unwrap() = true;
+        let before = calls();
+        let mut asked = 0;
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(3600) {
+            assert!(port.read("a").await.is_err());
+            asked += 1;
+            sleep(Duration::from_millis(100)).await;
+        }
+        let reached = calls() - before;
+        *network.platform.down.lock().unwrap() = false;
+        let back = Instant::now();
+        while port.read("a").await.is_err() {
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert!(back.elapsed() < Duration::from_secs(5));
+        assert!(reached * 10 < asked, "{reached} of {asked}");
+        writeln!(table, "{name}: {reached} of {asked} calls reached the platform").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
