Hold the port towards peers to a contract, one connection a peer

Cause: of 200 first calls at once to a peer 71 failed, since each opened its own connection and the last one replaced the others. Change: a slot a peer, locked while its connection is made; fault tables and 2000 seeded malformed messages against the real server. Measured: 200 of 200 calls answered; all 2000 malformed messages refused.

--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -33,11 +33,13 @@
 /// Longest wait for a peer's reply.
 const REPLY_WAIT: Duration = Duration::from_secs(1);
 
-type Clients = BTreeMap<SocketAddr, Arc<Client>>;
+/// The connection to a peer; held locked while it is made, so that there is only one.
+type Slot = Arc<tokio::sync::Mutex<Option<Arc<Client>>>>;
+type Slots = BTreeMap<SocketAddr, Slot>;
 
 /// Sends messages over one WebSocket a peer, and hands requests over by HTTP.
 pub struct RpcPeers {
-    clients: Mutex<Clients>,
+    slots: Mutex<Slots>,
     pool: Arc<ConnectionPool>,
     usage: Arc<ControlUsage>,
 }
@@ -50,18 +52,19 @@
     /// assert!(format!("{peers:?}").contains("clients: 0"));
     /// ```
     pub fn new(pool: Arc<ConnectionPool>) -> Self {
-        Self { clients: Mutex::default(), pool, usage: Arc::default() }
+        Self { slots: Mutex::default(), pool, usage: Arc::default() }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Clients> {
-        self.clients.lock().expect("no holder of the clients' lock panics")
+    fn lock(&self) -> MutexGuard<'_, Slots> {
+        self.slots.lock().expect("no holder of the slots' lock panics")
     }
 
     /// The connected client of a peer; connects where there is none.
     async fn client(&self, peer: SocketAddr) -> Result<Arc<Client>, PeerError> {
-        let held = self.lock().get(&peer).filter(|c| c.is_connected()).cloned();
-        if let Some(client) = held {
-            return Ok(client);
+        let slot = Arc::clone(self.lock().entry(peer).or_default());
+        let mut slot = slot.lock().await;
+        if let Some(client) = slot.as_ref().filter(|client| client.is_connected()) {
+            return Ok(Arc::clone(client));
         }
         let unreachable = |e: String| PeerError::Unreachable(e);
         let url = Url::parse(&format!("ws://{peer}")).map_err(|e| unreachable(e.to_string()))?;
@@ -72,7 +75,7 @@
             .map_err(|e| unreachable(e.to_string()))?;
         let builder = ClientBuilder::new().request_timeout(REPLY_WAIT);
         let client = Arc::new(builder.build_with_tokio(sender, receiver));
-        self.lock().insert(peer, Arc::clone(&client));
+        *slot = Some(Arc::clone(&client));
         Ok(client)
     }
 
@@ -90,20 +93,25 @@
         let reply: Result<Box<RawValue>, Error> = client.request(method, params).await;
         let received = reply.as_ref().map_or(0, |reply| reply.get().len() + FRAME_BYTES);
         self.usage.note(part, sent, received);
-        let reply = reply.map_err(|error| {
-            if !matches!(error, Error::Call(_)) {
-                self.forget(peer, &client);
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                if !matches!(error, Error::Call(_)) {
+                    self.forget(peer, &client).await;
+                }
+                return Err(to_peer_error(error));
             }
-            to_peer_error(error)
-        })?;
+        };
         serde_json::from_str(reply.get()).map_err(invalid)
     }
 
     /// Drops a connection that failed, unless another took its place.
-    fn forget(&self, peer: SocketAddr, client: &Arc<Client>) {
-        let mut clients = self.lock();
-        if clients.get(&peer).is_some_and(|held| Arc::ptr_eq(held, client)) {
-            clients.remove(&peer);
+    async fn forget(&self, peer: SocketAddr, client: &Arc<Client>) {
+        let slot = self.lock().get(&peer).cloned();
+        let Some(slot) = slot else { return };
+        let mut slot = slot.lock().await;
+        if slot.as_ref().is_some_and(|held| Arc::ptr_eq(held, client)) {
+            *slot = None;
         }
     }
 }
--- /dev/null
+++ b/crates/adapters/tests/peers_contract.rs
@@ -0,0 +1,219 @@
+//! The contract of the port towards peers, over real sockets on loopback.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use adapters::{ConnectionPool, HttpPlatform, HttpTargets, RpcPeers, serve_peers};
+use quickcheck::{Arbitrary, Gen};
+use slog::{Discard, Logger, o};
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+use steer::{
+    ControlPart, EntryNode, EntryPorts, EntryVm, Exchange, Heartbeat, NoMeter, NoTracer, PeerError,
+    PeerMessage, PeerReply, Peers, PoolKey, PoolRoom, SystemClock, Vm, VmAddresses, VmName,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const MALFORMED: u64 = 2000;
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn entry_vm(name: &str, peers: SocketAddr) -> EntryVm {
+    EntryVm {
+        addresses: VmAddresses { callers: peers, handoff: peers, operators: peers, peers },
+        fleet: "test".into(),
+        incarnation: 10,
+        name: name.into(),
+        region: "r".into(),
+        zone: "z".into(),
+    }
+}
+
+fn make_node(name: &str, address: SocketAddr) -> Arc<EntryNode> {
+    let pool = ConnectionPool::new();
+    let ports = EntryPorts {
+        clock: Arc::new(SystemClock),
+        meter: Arc::new(NoMeter),
+        peers: Arc::new(RpcPeers::new(Arc::clone(&pool))),
+        platform: Arc::new(HttpPlatform::new(address, name, Arc::clone(&pool))),
+        targets: Arc::new(HttpTargets::new(pool)),
+        tracer: Arc::new(NoTracer),
+    };
+    let (_, state) = Vm::join();
+    Arc::new(EntryNode::new(entry_vm(name, address), ports, state, Logger::root(Discard, o!())))
+}
+
+fn beat(change: impl FnOnce(&mut Heartbeat)) -> PeerMessage {
+    let mut beat = make_node("other", "127.0.0.1:9".parse().unwrap()).heartbeat();
+    change(&mut beat);
+    PeerMessage::Heartbeat(beat)
+}
+
+fn room(free: u32, slots: u32) -> BTreeMap<PoolKey, PoolRoom> {
+    BTreeMap::from([(PoolKey::new("s", "z"), PoolRoom { free, queued: 0, slots })])
+}
+
+fn shown(reply: Result<PeerReply, PeerError>) -> String {
+    match reply {
+        Ok(PeerReply::Heartbeat(beat)) => format!("introduced: {}", beat.vm.name),
+        Ok(PeerReply::Exchange(exchange)) => format!("exchanged: {}", exchange.from),
+        Ok(other) => format!("{other:?}"),
+        Err(PeerError::Invalid(_)) => "invalid".to_owned(),
+        Err(PeerError::Refused(reason)) => format!("refused: {reason}"),
+        Err(PeerError::Unreachable(_)) => "unreachable".to_owned(),
+    }
+}
+
+fn exchange(from: &str, incarnation: u64) -> PeerMessage {
+    let from = VmName::from(from);
+    PeerMessage::Exchange(Exchange { from, incarnation, ..Exchange::default() })
+}
+
+#[tokio::test]
+async fn peers_are_refused_what_is_impossible() {
+    let address = free_address();
+    let node = make_node("served", address);
+    let _server = serve_peers(Arc::clone(&node), address).await.unwrap();
+    let peers = RpcPeers::new(ConnectionPool::new());
+    let cases: Vec<(&str, PeerMessage)> = vec![
+        ("before an introduction", exchange("other", 10)),
+        ("a heartbeat", beat(|_| {})),
+        ("an exchange", exchange("other", 10)),
+        ("an older exchange", exchange("other", 9)),
+        ("a newer exchange", exchange("other", 11)),
+        ("an older incarnation", beat(|b| b.vm.incarnation = 9)),
+        ("no incarnation", beat(|b| b.vm.incarnation = 0)),
+        ("another fleet", beat(|b| b.vm.fleet = "else".into())),
+        ("an empty name", beat(|b| b.vm.name = "".into())),
+        ("an empty zone", beat(|b| b.vm.zone = "".into())),
+        ("a long name", beat(|b| b.vm.name = "n".repeat(254).as_str().into())),
+        ("its own name", beat(|b| b.vm.name = "served".into())),
+        ("no host", beat(|b| b.vm.addresses.peers = "0.0.0.0:80".parse().unwrap())),
+        ("no port", beat(|b| b.vm.addresses.callers = "10.0.0.1:0".parse().unwrap())),
+        ("room above slots", beat(|b| b.room = room(4, 3))),
+        ("room", beat(|b| b.room = room(3, 3))),
+    ];
+    let mut table = String::new();
+    for (name, message) in cases {
+        writeln!(table, "{name:<24} {}", shown(peers.call(address, message).await)).unwrap();
+    }
+    let usage = peers.usage().part(ControlPart::Heartbeats);
+    assert!(usage.sent > 0 && usage.received > 0);
+    assert!(node.control_usage(ControlPart::Heartbeats).received > 0);
+    insta::assert_snapshot!(table);
+}
+
+/// A server that does something wrong on each connection.
+async fn serve_wrong(answer: &'static [u8], hang: bool) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 1024];
+            drop(stream.read(&mut buffer).await);
+            drop(stream.write_all(answer).await);
+            if hang {
+                tokio::time::sleep(Duration::from_secs(30)).await;
+            }
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn peers_that_fail_give_a_clear_error() {
+    let peers = Arc::new(RpcPeers::new(ConnectionPool::new()));
+    let mut table = String::new();
+    let cases = [
+        ("nobody listens", free_address()),
+        ("closed in the call", serve_wrong(b"", false).await),
+        ("garbage", serve_wrong(b"\x00\xffgarbage\r\n\r\n", false).await),
+        ("another protocol", serve_wrong(b"HTTP/1.1 200 OK\r\n\r\nhello", false).await),
+        ("no answer", serve_wrong(b"", true).await),
+    ];
+    for (name, address) in cases {
+        writeln!(table, "{name:<20} {}", shown(peers.call(address, beat(|_| {})).await)).unwrap();
+    }
+    let address = free_address();
+    let _server = serve_peers(make_node("served", address), address).await.unwrap();
+    let calls = (0..200).map(|n| {
+        let (peers, name) = (Arc::clone(&peers), format!("vm-{n}"));
+        async move {
+            let message = beat(|b| b.vm.name = name.as_str().into());
+            let met = shown(peers.call(address, message).await);
+            (met, shown(peers.call(address, exchange(&name, 10)).await))
+        }
+    });
+    let mut ends: BTreeMap<(String, String), u32> = BTreeMap::new();
+    for end in futures_util::future::join_all(calls).await {
+        *ends.entry(end).or_default() += 1;
+    }
+    writeln!(table, "200 talks at once: {ends:?}").unwrap();
+    insta::assert_snapshot!(table);
+}
+
+/// A message that is wrong in one of several ways.
+fn malformed(g: &mut Gen) -> Vec<u8> {
+    let right =
+        r#"{"jsonrpc":"2.0","id":1,"method":"x","params":[{"c":[0,0,0],"d":1,"i":1,"n":"a"}]}"#;
+    let mut bytes = right.as_bytes().to_vec();
+    match u8::arbitrary(g) % 5 {
+        0 => bytes.truncate(usize::arbitrary(g) % bytes.len()),
+        1 => {
+            for _ in 0..4 {
+                let at = usize::arbitrary(g) % bytes.len();
+                bytes[at] = u8::arbitrary(g);
+            }
+        }
+        2 => bytes = Vec::arbitrary(g),
+        3 => bytes = vec![b'['; 1 + usize::arbitrary(g) % 5000],
+        _ => {
+            let method = ["x", "heartbeat", "settings", "none"][usize::arbitrary(g) % 4];
+            let params = ["[]", "[null]", "[{}]", "[[[]]]", "{\"a\":1}", "[1e999]", "\"\""];
+            let params = params[usize::arbitrary(g) % params.len()];
+            let text =
+                format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{method}","params":{params}}}"#);
+            bytes = text.into_bytes();
+        }
+    }
+    bytes
+}
+
+#[tokio::test]
+async fn malformed_messages_are_refused_and_the_server_lives() {
+    let address = free_address();
+    let node = make_node("served", address);
+    let _server = serve_peers(Arc::clone(&node), address).await.unwrap();
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for seed in 0..MALFORMED {
+        let body = malformed(&mut Gen::from_size_and_seed(64, seed));
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
+             connection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&body).await.unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        let code = answer.split("\"code\":").nth(1).and_then(|rest| rest.split([',', '}']).next());
+        let taken = answer.contains("\"result\"");
+        let kind = code.unwrap_or(if taken { "taken" } else { "no answer" });
+        *counts.entry(kind.to_owned()).or_default() += 1;
+    }
+    assert!(node.peers().is_empty(), "nothing malformed is taken");
+    let peers = RpcPeers::new(ConnectionPool::new());
+    let reply = shown(peers.call(address, beat(|_| {})).await);
+    insta::assert_snapshot!(format!("by error code: {counts:#?}\nafterwards {reply}"));
+}
