Measure slopes of tables, settings and control traffic

Change: lab slopes fits lines through block tables, settings and fleets of idle entry VMs as processes, and writes a table and plots. Measured: none yet on an idle machine.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -44,7 +44,9 @@
 }
 
 /// Finds a loopback network that no other run uses, and serves the platform on it.
-async fn free_network(platform: &Arc<PlatformStandIn>) -> Result<Network, Box<dyn Error>> {
+pub(crate) async fn free_network(
+    platform: &Arc<PlatformStandIn>,
+) -> Result<Network, Box<dyn Error>> {
     let first = std::process::id();
     for n in 0..u32::from(Network::RUNS) {
         let network = Network::numbered(first + n);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,6 +20,7 @@
 mod run;
 mod samples;
 mod scenario;
+mod slopes;
 mod stand_ins;
 mod workload;
 
@@ -39,6 +40,7 @@
     run::{RunResult, run_scenario},
     samples::{Sample, Samples, Sampling},
     scenario::{Action, Policy, Scenario},
+    slopes::{LineFit, Slope, run_slopes},
     stand_ins::{
         LinkStandIn, PlatformFaults, PlatformStandIn, RelaySwitch, RunRecord, TargetControls,
         TargetStandIn,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use lab::{
     DemoOptions, Deployment, ExperimentOptions, Policy, run_bench, run_demo, run_experiment,
-    wrap_peers,
+    run_slopes, wrap_peers,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{error::Error, process::ExitCode};
@@ -21,6 +21,8 @@
                      link-full, drain, stop-entry, kill-entry, pause-entry,
                      zone-cut, region-cut, platform-down, replace-all, chaos
 
+  slopes             Measure how state, messages, time and memory grow
+
 Options:
   --deployment NAME   vitrine or zadruga (default vitrine)
   --policy NAME       Only runs of this policy: naive or current (default both)
@@ -85,6 +87,10 @@
             experiment.seed = options.seed.unwrap_or(experiment.seed);
             runtime.block_on(run_experiment(&name, &experiment))
         }
+        Some("slopes") => {
+            runtime.block_on(run_slopes(options.report.as_deref()))?;
+            Ok(true)
+        }
         Some("help") => {
             print!("{HELP}");
             Ok(true)
--- /dev/null
+++ b/crates/lab/src/slopes/table_slopes.rs
@@ -0,0 +1,139 @@
+//! Slopes of look-up tables and settings, measured inside this process.
+
+use super::Slope;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{error::Error, fmt::Write, hint::black_box, net::Ipv4Addr, time::Instant};
+use steer::{BlockTable, ClientBlock, Settings, SettingsPath, SettingsTree};
+
+/// Numbers of client blocks.
+const BLOCKS: [usize; 5] = [50_000, 200_000, 600_000, 1_200_000, 1_700_000];
+/// Client blocks at the target.
+const TARGET_BLOCKS: f64 = 1_700_000.0;
+/// Look-ups that are timed.
+const LOOKUPS: usize = 1_000_000;
+/// Numbers of sites in one document.
+const SITES: [usize; 5] = [100, 400, 1_000, 1_800, 2_700];
+/// Sites at the target.
+const TARGET_SITES: f64 = 2_700.0;
+/// Regions that blocks are spread over.
+const REGIONS: u32 = 53;
+/// Availability zones that sites are spread over.
+const ZONES: usize = 149;
+
+/// Measures look-up tables and settings.
+pub(super) fn table_slopes() -> Result<Vec<Slope>, Box<dyn Error>> {
+    let mut slopes = block_slopes();
+    slopes.extend(settings_slopes()?);
+    Ok(slopes)
+}
+
+fn block_slopes() -> Vec<Slope> {
+    let names = ["build a look-up table, ms", "look-up table, bytes", "one look-up, ns"];
+    let mut points = [const { Vec::new() }; 3];
+    for count in BLOCKS {
+        let blocks = random_blocks(count);
+        let start = Instant::now();
+        let table = BlockTable::new(blocks.iter().copied());
+        let build = start.elapsed().as_secs_f64() * 1e3;
+        let mut rng = StdRng::seed_from_u64(2);
+        let addresses: Vec<_> = (0..LOOKUPS).map(|_| Ipv4Addr::from_bits(rng.random())).collect();
+        let start = Instant::now();
+        for address in &addresses {
+            black_box(table.find((*address).into()));
+        }
+        let find = start.elapsed().as_secs_f64() * 1e9 / LOOKUPS as f64;
+        let figures = [build, table.memory_bytes() as f64, find];
+        for (points, figure) in points.iter_mut().zip(figures) {
+            points.push((count as f64, figure));
+        }
+    }
+    let axis = "client blocks";
+    let slopes = names.into_iter().zip(points);
+    slopes.map(|(figure, points)| Slope { axis, figure, points, target: TARGET_BLOCKS }).collect()
+}
+
+/// Blocks of /16 to /28 that may nest, the same for the same count.
+fn random_blocks(count: usize) -> Vec<(ClientBlock, u32)> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let block = |rng: &mut StdRng| {
+        let address = Ipv4Addr::from_bits(rng.random());
+        let length: u8 = rng.random_range(16..=28);
+        let text = format!("{address}/{length}");
+        let block: ClientBlock = text.parse().expect("the text is a block");
+        (block, rng.random_range(0..REGIONS))
+    };
+    (0..count).map(|_| block(&mut rng)).collect()
+}
+
+fn settings_slopes() -> Result<Vec<Slope>, Box<dyn Error>> {
+    let names = ["check a document, ms", "put a document in force, ms", "settings document, bytes"];
+    let mut points = [const { Vec::new() }; 3];
+    for sites in SITES {
+        let text = team_text(sites);
+        let mut tree = SettingsTree::new();
+        let fleet = Settings::new(SettingsPath::Fleet, 1, fleet_text());
+        tree.put_in_force(fleet.check().map_err(|p| format!("{p:?}"))?)?;
+        let path = SettingsPath::Team("sites".into());
+        let start = Instant::now();
+        let checked =
+            Settings::new(path, 2, text.as_str()).check().map_err(|p| format!("{p:?}"))?;
+        let check = start.elapsed().as_secs_f64() * 1e3;
+        let start = Instant::now();
+        tree.put_in_force(checked)?;
+        black_box(tree.to_snapshot());
+        let put = start.elapsed().as_secs_f64() * 1e3;
+        for (points, figure) in points.iter_mut().zip([check, put, text.len() as f64]) {
+            points.push((sites as f64, figure));
+        }
+    }
+    let axis = "sites";
+    let slopes = names.into_iter().zip(points);
+    Ok(slopes
+        .map(|(figure, points)| Slope { axis, figure, points, target: TARGET_SITES })
+        .collect())
+}
+
+fn zone_name(index: usize) -> String {
+    format!("z{}", index % ZONES)
+}
+
+fn fleet_text() -> String {
+    let mut regions = String::new();
+    for region in 0..REGIONS as usize {
+        let zones: Vec<String> = (region..ZONES)
+            .step_by(REGIONS as usize)
+            .map(|zone| format!("\"{}\"", zone_name(zone)))
+            .collect();
+        let comma = if region == 0 { "" } else { ",\n" };
+        write!(
+            regions,
+            "{comma}    \"r{region}\": {{ \"delay_ms\": 5.0, \"zones\": [{}] }}",
+            zones.join(", ")
+        )
+        .expect("writing to a string can't fail");
+    }
+    format!(
+        r#"{{ "fleet": "scale", "regions": {{ {regions} }},
+  "teams": {{ "sites": {{ "max_shift": 100, "services": ["site"] }} }} }}"#
+    )
+}
+
+fn team_text(sites: usize) -> String {
+    let mut targets = String::new();
+    for site in 0..sites {
+        let comma = if site == 0 { "" } else { ",\n" };
+        let (a, b) = (site / 250, site % 250);
+        write!(
+            targets,
+            r#"{comma}    "site-{site}": {{ "address": "10.0.{a}.{b}:9000", "slots": 6, "zone": "{}" }}"#,
+            zone_name(site)
+        )
+        .expect("writing to a string can't fail");
+    }
+    format!(
+        r#"{{ "services": {{ "site": {{
+  "hosts": ["site.example"],
+  "classes": {{ "read": {{ "matches": [{{ "methods": ["GET"], "path": "/" }}], "repeat": "idempotent" }} }},
+  "targets": {{ {targets} }} }} }} }}"#
+    )
+}
