--- a/crates/steer/src/flows/watch_vms.rs
+++ b/crates/steer/src/flows/watch_vms.rs
@@ -13,13 +13,15 @@
 };
 use tokio::{
     task::{AbortHandle, JoinSet},
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
 /// Time between two looks at who was heard.
 const SWEEP: Duration = Duration::from_millis(100);
 /// Time between two looks at the platform's list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two reports of the control traffic.
+const METER_PERIOD: Duration = Duration::from_secs(10);
 /// Longest time that peers get to take an announcement.
 const TELL_WAIT: Duration = Duration::from_millis(500);
 /// VMs of a zone without a known live VM that are tried.
@@ -35,7 +37,12 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let reader = Arc::clone(node);
     talks.spawn(async move { read_lists(&reader).await });
+    let mut metered = Instant::now();
     loop {
+        if metered.elapsed() >= METER_PERIOD {
+            node.meter_control();
+            metered = Instant::now();
+        }
         tokio::select! {
             biased;
             _ = ticks.tick() => {}
--- a/crates/steer/src/membership/delegates.rs
+++ b/crates/steer/src/membership/delegates.rs
@@ -14,7 +14,11 @@
 /// Shortest time between two heartbeats to a peer.
 const SHORTEST_PERIOD: Duration = Duration::from_millis(500);
 /// What each VM of the zone adds to the time between two heartbeats inside it.
-const PERIOD_PER_VM: Duration = Duration::from_millis(40);
+const PERIOD_PER_VM: Duration = Duration::from_millis(50);
+/// Most heartbeats a second that a VM takes part in; one has about 200 bytes.
+const MOST_BEATS: f64 = 21.0;
+/// Heartbeats a second that are left for other zones, however large the own one is.
+const LEAST_OUTSIDE: f64 = 1.5;
 /// What each region adds to the time between two heartbeats from region to region.
 const PERIOD_PER_REGION: Duration = Duration::from_millis(80);
 
@@ -89,9 +93,26 @@
         }
         plan.add_regions(own, &scopes);
         plan.periods.remove(&own.addresses.peers);
+        plan.keep_budget(&mates.iter().map(|c| c.vm.addresses.peers).collect());
         plan
     }
 
+    /// Slows the talks with other zones down to what the zone's own leave of the budget.
+    fn keep_budget(&mut self, mates: &BTreeSet<SocketAddr>) {
+        let beats = |inside: bool| {
+            let talks = self.periods.iter().filter(|(peer, _)| mates.contains(peer) == inside);
+            talks.map(|(_, period)| 1.0 / period.as_secs_f64()).sum::<f64>()
+        };
+        let (inside, outside) = (beats(true), beats(false));
+        let factor = outside / (MOST_BEATS - inside).max(LEAST_OUTSIDE);
+        if factor <= 1.0 {
+            return;
+        }
+        for (_, period) in self.periods.iter_mut().filter(|(peer, _)| !mates.contains(peer)) {
+            *period = period.mul_f64(factor);
+        }
+    }
+
     fn add_regions(&mut self, own: &EntryVm, scopes: &Scopes<'_>) {
         let regions: BTreeSet<&RegionName> =
             scopes.zones.values().flatten().map(|c| &c.vm.region).collect();
@@ -110,7 +131,7 @@
 }
 
 /// Time between heartbeats inside a zone of some VMs.
-pub(super) fn mate_period(vms: usize) -> Duration {
+fn mate_period(vms: usize) -> Duration {
     SHORTEST_PERIOD.max(PERIOD_PER_VM * u32::try_from(vms).unwrap_or(u32::MAX))
 }
 
--- a/crates/steer/src/membership/membership_table.rs
+++ b/crates/steer/src/membership/membership_table.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Candidate, EntryVm, PeerRecord, Rejection, TalkPlan, VmState,
-    delegates::{far_period, mate_period},
+    delegates::far_period,
     news_route::may_pass,
     rejection::{check_room, check_vm},
 };
@@ -42,6 +42,7 @@
     changes: u64,
     own: OwnNews,
     peers: BTreeMap<VmName, PeerRecord>,
+    periods: BTreeMap<SocketAddr, Duration>,
     refutation: u64,
     swept: Option<Instant>,
     urgent: bool,
@@ -49,9 +50,11 @@
 
 impl MembershipTable {
     /// Wait beyond the time between heartbeats after which a silent peer is suspected.
-    pub const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+    pub const SUSPECT_AFTER: Duration = Duration::from_millis(200);
     /// Time in which a suspected peer can refute before it counts as gone.
-    pub const REFUTE_WITHIN: Duration = Duration::from_millis(500);
+    pub const REFUTE_WITHIN: Duration = Duration::from_millis(400);
+    /// Time between heartbeats of a peer that talks to this VM by a plan of its own.
+    const UNPLANNED_PERIOD: Duration = Duration::from_millis(500);
     /// Time after which a peer that is gone is forgotten.
     pub const FORGET_AFTER: Duration = Duration::from_secs(3600);
     /// Most VMs that one message tells of.
@@ -221,18 +224,17 @@
     }
 
     /// Brings suspicions and losses up to date.
-    pub fn sweep(&mut self, own: &EntryVm, now: Instant) -> Sweep {
+    pub fn sweep(&mut self, now: Instant) -> Sweep {
         let gap = self.swept.map_or(Duration::ZERO, |then| now.duration_since(then));
         self.swept = Some(now);
         let paused = gap > Self::PAUSE;
         if paused {
             self.peers.values_mut().for_each(|record| record.forgive(gap));
         }
-        let mates = self.peers.values().filter(|p| p.alive && p.vm.zone == own.zone).count();
-        let (near, far) = (mate_period(mates + 1), far_period(self.regions()));
         let mut lost = Vec::new();
         for record in self.peers.values_mut() {
-            let period = if record.vm.region == own.region { near } else { far };
+            let planned = self.periods.get(&record.vm.addresses.peers).copied();
+            let period = planned.unwrap_or(Self::UNPLANNED_PERIOD);
             let before = (record.is_direct(), record.suspected);
             self.changes += 1;
             record.judge_silence(period + Self::SUSPECT_AFTER, self.changes, now);
@@ -365,13 +367,15 @@
         told.map(|p| (p.vm.name.clone(), p.vm.incarnation, p.refutation)).collect()
     }
 
-    /// Plans whom this VM talks to.
-    pub fn plan(&self, own: &EntryVm) -> TalkPlan {
+    /// Plans whom this VM talks to; the plan's periods are what silence is judged by.
+    pub fn plan(&mut self, own: &EntryVm) -> TalkPlan {
         let known = self.peers.values().filter(|p| p.state != VmState::Stopped);
         let candidates: Vec<_> = known
             .map(|p| Candidate { serving: p.alive && p.state.accepts_work(), vm: &p.vm })
             .collect();
-        TalkPlan::new(own, &candidates)
+        let plan = TalkPlan::new(own, &candidates);
+        self.periods.clone_from(&plan.periods);
+        plan
     }
 
     /// A peer by the address at which it takes messages.
--- a/crates/steer/src/membership/node_membership.rs
+++ b/crates/steer/src/membership/node_membership.rs
@@ -162,7 +162,7 @@
     pub fn sweep(&self) -> Arc<TalkPlan> {
         let (swept, plan) = {
             let mut members = self.members();
-            let swept = members.sweep(self.vm(), Instant::now());
+            let swept = members.sweep(Instant::now());
             let urgent = members.take_urgent();
             (swept, urgent.then(|| members.plan(self.vm())))
         };
@@ -265,6 +265,16 @@
         }
     }
 
+    /// Reports the bytes of control traffic by part as levels.
+    pub fn meter_control(&self) {
+        for part in ControlPart::ALL {
+            let usage = self.control_usage(part);
+            let meter = &self.ports().meter;
+            meter.gauge(&format!("control.{part}.received"), usage.received);
+            meter.gauge(&format!("control.{part}.sent"), usage.sent);
+        }
+    }
+
     /// Counts the control traffic that this VM answers.
     pub fn control(&self) -> &ControlUsage {
         &self.talk().control
