Keep the slot of a cancelled request until its target has noticed

Cause: a slot that was free at once after a cancel let a target run one request above its slots while it still worked on the cancelled one. Change: the slot of a cancelled request stays taken for 50 ms.

--- a/crates/steer/src/pool/grant.rs
+++ b/crates/steer/src/pool/grant.rs
@@ -11,6 +11,8 @@
     pub(super) answered: bool,
     pub(super) charged: Duration,
     pub(super) class: usize,
+    /// The target has nothing more of the request to run.
+    pub(super) ended: bool,
     pub(super) id: u64,
     pub(super) member: MemberName,
     pub(super) since: Instant,
--- a/crates/steer/src/pool/permit.rs
+++ b/crates/steer/src/pool/permit.rs
@@ -39,16 +39,19 @@
     /// Notes that the head of an answer came.
     pub fn note_answer(&mut self) {
         self.grant.answered = true;
+        self.grant.ended = true;
         self.pool.note_answer(&self.grant);
     }
 
     /// Notes that the target couldn't be reached, or broke the connection.
-    pub fn note_unreachable(&self) {
+    pub fn note_unreachable(&mut self) {
+        self.grant.ended = true;
         self.pool.note_failure(&self.grant, None);
     }
 
     /// Notes that the target shed the request, and the pause that it asked for.
-    pub fn note_shed(&self, asked: Option<Duration>) {
+    pub fn note_shed(&mut self, asked: Option<Duration>) {
+        self.grant.ended = true;
         self.pool.note_failure(&self.grant, Some(asked.unwrap_or_default()));
     }
 }
--- a/crates/steer/src/pool/pool_state.rs
+++ b/crates/steer/src/pool/pool_state.rs
@@ -219,6 +219,7 @@
                 answered: false,
                 charged: waiter.charged,
                 class,
+                ended: false,
                 id: waiter.id,
                 member,
                 since: now,
@@ -297,6 +298,7 @@
             address: self.targets[place].address,
             answered: false,
             charged,
+            ended: false,
             id: self.take_id(),
             since: now,
             target: self.targets[place].name.clone(),
@@ -382,6 +384,9 @@
         let reference = class.reference;
         let Some(target) = self.target(&grant.target) else { return };
         target.end(grant.class);
+        if !grant.ended {
+            target.linger(now);
+        }
         target.pace.end(grant.id);
         let is_gone = target.drained && target.busy == 0;
         let limit = reference.map(|pace| pace.exp() * TargetPace::SLOW);
@@ -398,7 +403,8 @@
     pub(super) fn next_opening(&self, now: Instant) -> Option<Instant> {
         let pauses = self.targets.iter().filter_map(|target| target.backoff.until());
         let trials = self.targets.iter().filter_map(|target| target.ease.due());
-        pauses.chain(trials).chain(self.grace).filter(|at| *at > now).min()
+        let lingering = self.targets.iter().filter_map(|target| target.next_lingered(now));
+        pauses.chain(trials).chain(lingering).chain(self.grace).filter(|at| *at > now).min()
     }
 
     /// Free slots by the last sums.
--- a/crates/steer/src/pool/pool_target.rs
+++ b/crates/steer/src/pool/pool_target.rs
@@ -4,7 +4,7 @@
     EaseOut, LoadCorrection, LoadReport, TargetBackoff, TargetCandidate, TargetName, TargetPace,
     TargetSettings, WarmUp,
 };
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 /// Slots in use, and all that bounds them.
@@ -18,6 +18,8 @@
     pub(super) drained: bool,
     pub(super) ease: EaseOut,
     pub(super) leaving: bool,
+    /// When the target has noticed the end of cancelled requests, in order of time.
+    lingering: VecDeque<Instant>,
     pub(super) name: TargetName,
     pub(super) pace: TargetPace,
     pub(super) slots: u32,
@@ -25,6 +27,9 @@
 }
 
 impl PoolTarget {
+    /// Time until a target has noticed that a request was cancelled.
+    const LINGER: Duration = Duration::from_millis(50);
+
     pub(super) fn new(name: TargetName, settings: &TargetSettings) -> Self {
         Self {
             address: settings.address,
@@ -35,6 +40,7 @@
             drained: false,
             ease: EaseOut::default(),
             leaving: false,
+            lingering: VecDeque::new(),
             name,
             pace: TargetPace::default(),
             slots: settings.slots,
@@ -64,7 +70,7 @@
             return 0;
         }
         let known = self.slots.saturating_sub(self.correction.foreign(now)).max(1);
-        let limit = self.warm.limit(now, self.slots).min(known);
+        let limit = self.warm.limit(now, self.slots).min(known).saturating_sub(self.lingered(now));
         if self.is_in_grace(now, grace) { limit.min(self.slots.div_ceil(2)) } else { limit }
     }
 
@@ -99,7 +105,7 @@
     /// Whether the target waits for a trial request and could take it.
     pub(super) fn wants_trial(&self, now: Instant) -> bool {
         let open = self.is_in_service() && !self.backoff.is_closed(now);
-        open && self.ease.is_trial_due(now) && self.busy < self.slots
+        open && self.ease.is_trial_due(now) && self.busy + self.lingered(now) < self.slots
     }
 
     pub(super) fn begin(&mut self, class: usize) {
@@ -116,6 +122,24 @@
         self.busy -= 1;
     }
 
+    /// Keeps the slot of a cancelled request until the target has noticed.
+    pub(super) fn linger(&mut self, now: Instant) {
+        while self.lingering.front().is_some_and(|end| *end <= now) {
+            self.lingering.pop_front();
+        }
+        self.lingering.push_back(now + Self::LINGER);
+    }
+
+    /// Slots of cancelled requests that the target may not have noticed yet.
+    fn lingered(&self, now: Instant) -> u32 {
+        self.lingering.iter().filter(|end| **end > now).count() as u32
+    }
+
+    /// The next time at which such a slot is free.
+    pub(super) fn next_lingered(&self, now: Instant) -> Option<Instant> {
+        self.lingering.iter().find(|end| **end > now).copied()
+    }
+
     pub(super) fn take_report(&mut self, now: Instant, report: LoadReport) {
         if self.leaving && !report.leaving {
             self.warm.chill();
