--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -18,6 +18,7 @@
 mod admission;
 mod choice;
 mod errors;
+mod explain;
 mod flows;
 mod lookup;
 mod membership;
@@ -30,6 +31,6 @@
 mod settings;
 
 pub use self::{
-    admission::*, choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*,
-    pool::*, ports::*, retry::*, routing::*, settings::*,
+    admission::*, choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*,
+    node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
 };
