Lend room, shift caps and link caps between entry VMs

Cause: zones handed requests over without knowing whether there was room, and nothing held shifts and links under their caps. Change: a pool's owner lends slots as short leases, and only a request with a lent slot moves to another zone; a coordinator elected by leased votes divides the caps of shifts and links; bodies that cross a link are paced by urgency; a zone without entry VMs is adopted in its region.

--- a/crates/adapters/src/peers/mod.rs
+++ b/crates/adapters/src/peers/mod.rs
@@ -3,5 +3,6 @@
 mod rpc_peers;
 mod rpc_server;
 mod wire;
+mod wire_lease;
 
 pub use self::{rpc_peers::RpcPeers, rpc_server::serve_peers};
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -1,6 +1,9 @@
 //! The port towards other entry VMs.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::{
+    wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
+    wire_lease::{LEASE, WireAsk, WireGrant},
+};
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response};
@@ -100,6 +103,12 @@
                 let wire: WireHeartbeat = self.request(peer, HEARTBEAT, params).await?;
                 Ok(PeerReply::Heartbeat(Heartbeat::from(wire)))
             }
+            PeerMessage::Lease(ask) => {
+                let params = rpc_params![WireAsk::from(&ask)];
+                let wire: WireGrant = self.request(peer, LEASE, params).await?;
+                let grant = wire.try_into().map_err(PeerError::Invalid)?;
+                Ok(PeerReply::Lease(grant))
+            }
             PeerMessage::Settings(query) => {
                 let params = rpc_params![WireQuery::from(&query)];
                 let wire: WireBatch = self.request(peer, SETTINGS, params).await?;
--- a/crates/adapters/src/peers/rpc_server.rs
+++ b/crates/adapters/src/peers/rpc_server.rs
@@ -1,6 +1,9 @@
 //! Answers peers' messages.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::{
+    wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
+    wire_lease::{LEASE, WireAsk, WireGrant},
+};
 use jsonrpsee::{
     RpcModule,
     server::{Server, ServerConfig, ServerHandle},
@@ -34,6 +37,9 @@
     module
         .register_method(HEARTBEAT, |params, node, _| answer_heartbeat(&params, node))
         .expect("each method is registered once");
+    module
+        .register_method(LEASE, |params, node, _| answer_lease(&params, node))
+        .expect("each method is registered once");
     module
         .register_method(SETTINGS, |params, node, _| answer_settings(&params, node))
         .expect("each method is registered once");
@@ -51,6 +57,14 @@
     }
 }
 
+fn answer_lease(params: &Params<'_>, node: &EntryNode) -> Result<WireGrant, ErrorObjectOwned> {
+    let ask: WireAsk = params.one()?;
+    match node.answer_peer(PeerMessage::Lease(ask.into())) {
+        Some(PeerReply::Lease(grant)) => Ok(grant.into()),
+        _ => Err(refuse("no leases")),
+    }
+}
+
 fn answer_settings(params: &Params<'_>, node: &EntryNode) -> Result<WireBatch, ErrorObjectOwned> {
     let query: WireQuery = params.one()?;
     let query = SettingsQuery::try_from(query).map_err(|e| refuse(&e))?;
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -1,8 +1,12 @@
 //! The flows: one straight async function for each life.
 
+mod ask_lease;
 mod attempt;
+mod borrow_room;
 mod call;
 mod refusal;
+mod renew_room;
+mod renew_shares;
 mod route_request;
 mod run_entry;
 mod run_in_pool;
@@ -15,6 +19,8 @@
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
     call::{Call, Origin},
     refusal::Refusal,
+    renew_room::renew_room,
+    renew_shares::renew_shares,
     run_entry::run_entry,
     serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
     talk_to_peer::talk_to_peer,
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -1,45 +1,176 @@
 //! Finds an availability zone for a request, and hands it over where that is another one.
 
 use super::{
-    Attempt, AttemptError, Call, HOP_HEADER, Origin, Refusal, Unsent, run_in_pool::run_in_pool,
-    serve_request::set_header,
+    Attempt, AttemptError, Call, HOP_HEADER, OUTCOME_HEADER, Origin, Refusal, Unsent,
+    borrow_room::borrow_room, run_in_pool::run_in_pool, serve_request::set_header,
 };
-use crate::{Body, EntryNode, EntryVm, ErrorKind, PoolKey, PoolOwner, SendError, order_zones};
-use http::{HeaderName, Request, Response};
-use tokio::time::timeout;
+use crate::{
+    Body, EntryNode, EntryVm, ErrorKind, Outcome, PoolKey, PoolOwner, RoomTicket, SendError,
+    VmName, empty_body, pace_body,
+};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
+use http_body::Body as _;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Header with the number of the lease in whose slot a request runs.
+const LEASE_HEADER: HeaderName = HeaderName::from_static("x-room-lease");
+/// Header with the availability zone of the pool that a request is for.
+const ZONE_HEADER: HeaderName = HeaderName::from_static("x-pool-zone");
+/// Time between two looks for room elsewhere.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
-/// Tries availability zones in order until one takes the request.
+/// Runs a request of a caller where there is room, or one that a peer handed over.
 pub(super) async fn route_request(
     node: &EntryNode,
     call: &Call,
-    request: Request<Body>,
+    mut request: Request<Body>,
     origin: &Origin,
 ) -> Result<Response<Body>, Refusal> {
-    let mut attempt = Attempt::new(request);
-    let zones = match origin {
-        Origin::Caller => {
-            let now = node.ports().clock.now();
-            order_zones(&node.snapshot(), &call.service, &node.vm().zone, now)
+    let headers = request.headers_mut();
+    let lease = headers.remove(LEASE_HEADER).and_then(|v| v.to_str().ok()?.parse().ok());
+    let zone = headers.remove(ZONE_HEADER).and_then(|v| Some(v.to_str().ok()?.into()));
+    let attempt = Attempt::new(request);
+    match origin {
+        Origin::Caller => route_caller(node, call, attempt).await,
+        Origin::Peer(peer) => {
+            let zone = zone.unwrap_or_else(|| node.vm().zone.clone());
+            let key = PoolKey { service: call.service.name.clone(), zone };
+            run_for_peer(node, call, attempt, peer, &key, lease).await
         }
-        Origin::Peer(_) => vec![node.vm().zone.clone()],
-    };
-    for zone in zones {
+    }
+}
+
+/// Tries the planned zones; where the own zone has no targets, looks for room elsewhere until
+/// half of the deadline is over.
+async fn route_caller(
+    node: &EntryNode,
+    call: &Call,
+    mut attempt: Attempt<Unsent>,
+) -> Result<Response<Body>, Refusal> {
+    let give_up = Instant::now() + call.time_left() / 2;
+    let mut place = None;
+    loop {
+        match try_zones(node, call, attempt).await {
+            Tried::Done(result) => return result,
+            Tried::NoRoom(back) => attempt = back,
+        }
+        place = place.or_else(|| node.zones().waiting().try_acquire().ok());
+        if place.is_none() || Instant::now() >= give_up {
+            return Err(attempt.refuse_not_run(ErrorKind::NoRoom));
+        }
+        sleep(LOOK_AGAIN).await;
+    }
+}
+
+enum Tried {
+    Done(Result<Response<Body>, Refusal>),
+    NoRoom(Attempt<Unsent>),
+}
+
+async fn try_zones(node: &EntryNode, call: &Call, mut attempt: Attempt<Unsent>) -> Tried {
+    for zone in node.plan(call) {
         let key = PoolKey { service: call.service.name.clone(), zone };
-        let owner = match origin {
-            Origin::Caller => node.pool_owner(&key),
-            Origin::Peer(_) => PoolOwner::Here,
-        };
-        match owner {
-            PoolOwner::Here => return run_in_pool(node, call, attempt, &key).await,
+        let result = match node.pool_owner(&key) {
+            PoolOwner::Here => {
+                let start = Instant::now();
+                let result = run_in_pool(node, call, attempt, &key, None).await;
+                note_home(node, call, &result, start);
+                return Tried::Done(result);
+            }
             PoolOwner::Nobody => continue,
-            PoolOwner::Peer(peer) => match hand_off(node, call, attempt, &peer).await {
-                Ok(response) => return Ok(response),
-                Err(AttemptError::NotSent(back, _)) => attempt = back,
-                Err(AttemptError::Sent(sent, kind)) => return Err(sent.refuse_unknown(kind)),
-            },
+            PoolOwner::Peer(peer) if peer.zone == node.vm().zone => {
+                let start = Instant::now();
+                let result = hand_off(node, call, attempt, &peer, &key, None).await;
+                note_home(node, call, &result, start);
+                result
+            }
+            PoolOwner::Peer(peer) => move_to(node, call, attempt, &peer, &key).await,
+        };
+        match result {
+            Ok(response) => return Tried::Done(Ok(response)),
+            Err(AttemptError::NotSent(back, _)) => attempt = back,
+            Err(AttemptError::Sent(sent, kind)) => {
+                return Tried::Done(Err(sent.refuse_unknown(kind)));
+            }
         }
     }
-    Err(attempt.refuse_not_run(ErrorKind::NoRoom))
+    Tried::NoRoom(attempt)
+}
+
+/// Moves a request to another zone: only with a slot that its owner granted, and only under the
+/// cap of the shift that it counts for.
+async fn move_to(
+    node: &EntryNode,
+    call: &Call,
+    attempt: Attempt<Unsent>,
+    peer: &EntryVm,
+    key: &PoolKey,
+) -> Result<Response<Body>, AttemptError> {
+    let shift = node.shift_to(call, &peer.region);
+    let ticket = borrow_room(node, call, key, peer).await;
+    let start = Instant::now();
+    if let Some(shift) = &shift {
+        node.zones().shifts().note_ask(shift, ticket.is_some(), start);
+    }
+    let Some(ticket) = ticket else {
+        return Err(AttemptError::NotSent(attempt, "no room granted".into()));
+    };
+    if let Some(shift) = &shift
+        && node.zones().shares().take(shift, 1, start).is_err()
+    {
+        node.zones().room().put_back(key, ticket);
+        return Err(AttemptError::NotSent(attempt, "the shift is at its cap".into()));
+    }
+    let result = hand_off(node, call, attempt, peer, key, Some(ticket)).await;
+    if let Some(shift) = &shift {
+        let (good, now) = (is_good(&result), Instant::now());
+        node.zones().shifts().note_shifted(shift, good, now.duration_since(start), now);
+    }
+    result
+}
+
+fn is_good<E>(result: &Result<Response<Body>, E>) -> bool {
+    result.as_ref().is_ok_and(|r| !r.status().is_server_error() && !is_not_run(r.headers()))
+}
+
+fn is_not_run(headers: &HeaderMap) -> bool {
+    let outcome = headers.get(OUTCOME_HEADER).and_then(|v| Outcome::parse(v.to_str().ok()?));
+    outcome == Some(Outcome::NotRun)
+}
+
+/// Tells whether a peer refused a request because it had no room or was stopping.
+fn has_no_room(response: &Response<Body>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE && is_not_run(response.headers())
+}
+
+fn note_home<E>(node: &EntryNode, call: &Call, result: &Result<Response<Body>, E>, start: Instant) {
+    let now = Instant::now();
+    let time = now.duration_since(start);
+    node.zones().shifts().note_home(&call.service.name, is_good(result), time, now);
+}
+
+/// Runs a request that a peer handed over: in the slot of its lease, or, for a peer of the own
+/// zone, in the queue. Anything else is refused before it starts.
+async fn run_for_peer(
+    node: &EntryNode,
+    call: &Call,
+    attempt: Attempt<Unsent>,
+    peer: &VmName,
+    key: &PoolKey,
+    lease: Option<u64>,
+) -> Result<Response<Body>, Refusal> {
+    let known = node.peer(peer);
+    let neighbour = known.as_ref().is_some_and(|vm| vm.zone == node.vm().zone);
+    let lent = lease.and_then(|id| node.redeem_room(key, id, peer));
+    let admitted = lent.is_some() || (neighbour && lease.is_none());
+    if !admitted || !node.served_zones().contains(&key.zone) {
+        return Err(attempt.refuse_not_run(ErrorKind::NoRoom));
+    }
+    let response = run_in_pool(node, call, attempt, key, lent).await?;
+    let Some(link) = known.and_then(|vm| node.link_to(&vm.region)) else { return Ok(response) };
+    let pacer = node.zones().pacer().clone();
+    Ok(response.map(|body| pace_body(body, pacer, link, call.rule.urgency)))
 }
 
 /// Hands the request to the entry VM that owns the pool.
@@ -48,14 +179,31 @@
     call: &Call,
     attempt: Attempt<Unsent>,
     peer: &EntryVm,
+    key: &PoolKey,
+    ticket: Option<RoomTicket>,
 ) -> Result<Response<Body>, AttemptError> {
     let mut request = attempt.into_request();
     set_header(&mut request, HOP_HEADER, Some(node.vm().name.to_string()));
+    set_header(&mut request, LEASE_HEADER, ticket.map(|t| t.lease.to_string()));
+    set_header(&mut request, ZONE_HEADER, Some(key.zone.to_string()));
     let left = call.time_left().as_millis().to_string();
     set_header(&mut request, HeaderName::from_static(Call::DEADLINE_HEADER), Some(left));
+    let again = request.body().is_end_stream().then(|| request_again(&request));
+    if again.is_none()
+        && let Some(link) = node.link_to(&peer.region)
+    {
+        let pacer = node.zones().pacer().clone();
+        request = request.map(|body| pace_body(body, pacer, link, call.rule.urgency));
+    }
     let sending = node.ports().peers.hand_off(peer.addresses.handoff, request);
     match timeout(call.time_left(), sending).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => match again {
+            // The peer says that it ran nothing, so another zone may run the request.
+            Some(request) if has_no_room(&response) => {
+                Err(AttemptError::NotSent(Attempt::new(request), "refused by the peer".into()))
+            }
+            _ => Ok(response),
+        },
         Ok(Err(SendError::NotSent { reason, request })) => {
             Err(AttemptError::NotSent(Attempt::new(*request), reason))
         }
@@ -63,3 +211,13 @@
         Err(_) => Err(Attempt::lost(ErrorKind::DeadlinePassed)),
     }
 }
+
+/// The same request once more; it has no body.
+fn request_again(request: &Request<Body>) -> Request<Body> {
+    let mut again = Request::new(empty_body());
+    *again.headers_mut() = request.headers().clone();
+    *again.method_mut() = request.method().clone();
+    *again.uri_mut() = request.uri().clone();
+    *again.version_mut() = request.version();
+    again
+}
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,6 +1,6 @@
 //! The life of an entry VM.
 
-use super::{watch_settings, watch_vms};
+use super::{renew_room, renew_shares, watch_settings, watch_vms};
 use crate::{EntryNode, Joining, Stopped, Vm};
 use slog::info;
 use std::sync::Arc;
@@ -17,6 +17,10 @@
     tasks.spawn(async move { watch_settings(&watcher).await });
     let watcher = Arc::clone(&node);
     tasks.spawn(async move { watch_vms(&watcher).await });
+    let renewer = Arc::clone(&node);
+    tasks.spawn(async move { renew_room(&renewer).await });
+    let renewer = Arc::clone(&node);
+    tasks.spawn(async move { renew_shares(&renewer).await });
 
     wait_for_settings(&node).await;
     let vm = vm.serve();
--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -8,18 +8,23 @@
 /// Attempts for a request of which nothing has been sent.
 const ATTEMPTS: usize = 3;
 
-/// Waits for a slot of a pool that this VM owns, and sends the request to its target.
+/// Waits for a slot of a pool that this VM owns, and sends the request to its target. A request
+/// that comes with a lent slot takes that one first and doesn't queue.
 pub(super) async fn run_in_pool(
     node: &EntryNode,
     call: &Call,
     mut attempt: Attempt<Unsent>,
     key: &PoolKey,
+    mut lent: Option<Permit>,
 ) -> Result<Response<Body>, Refusal> {
     let pool = node.pool(key);
     for _ in 0..ATTEMPTS {
-        let permit = match pool.admit(&call.ticket()).await {
-            Ok(permit) => permit,
-            Err(kind) => return Err(attempt.refuse_not_run(kind)),
+        let permit = match lent.take() {
+            Some(permit) => permit,
+            None => match pool.admit(&call.ticket()).await {
+                Ok(permit) => permit,
+                Err(kind) => return Err(attempt.refuse_not_run(kind)),
+            },
         };
         let sending = attempt.send(&*node.ports().targets, permit.address(), call.time_left());
         match sending.await {
--- a/crates/steer/src/flows/watch_vms.rs
+++ b/crates/steer/src/flows/watch_vms.rs
@@ -23,6 +23,7 @@
         match node.ports().platform.vms().await {
             Ok(vms) => {
                 node.set_leaving(leaving_targets(&vms));
+                node.set_roster(&vms);
                 start_talks(node, &vms, &mut talks);
             }
             Err(error) => {
--- /dev/null
+++ b/crates/steer/src/lease/mod.rs
@@ -0,0 +1,15 @@
+//! Leases: a part of something counted that one entry VM lends to another for a short time.
+
+mod lease_book;
+mod lease_message;
+mod lease_state;
+mod max_min;
+mod vote_book;
+
+pub use self::{
+    lease_book::LeaseBook,
+    lease_message::{LeaseAsk, LeaseGrant, LeaseHolder, LeaseItem, ShareKey},
+    lease_state::{Held, Lapsed, Lease},
+    max_min::max_min,
+    vote_book::VoteBook,
+};
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -18,6 +18,8 @@
 mod choice;
 mod errors;
 mod flows;
+mod lease;
+mod link;
 mod lookup;
 mod membership;
 mod names;
@@ -26,8 +28,10 @@
 mod ports;
 mod routing;
 mod settings;
+mod shares;
+mod shift;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, pool::*, ports::*,
-    routing::*, settings::*,
+    choice::*, errors::*, flows::*, lease::*, link::*, lookup::*, membership::*, names::*, node::*,
+    pool::*, ports::*, routing::*, settings::*, shares::*, shift::*,
 };
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -5,7 +5,8 @@
     AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
     LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
     PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
-    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, ZoneDesk, choose_owner,
+    order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -38,6 +39,7 @@
     tree: Mutex<SettingsTree>,
     vm: EntryVm,
     work: TaskTracker,
+    zones: ZoneDesk,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -65,6 +67,7 @@
             snapshot: watch::Sender::new(Arc::default()),
             state,
             tree: Mutex::default(),
+            zones: ZoneDesk::new(&vm),
             vm,
             work: TaskTracker::new(),
         }
@@ -85,6 +88,16 @@
         &self.vm
     }
 
+    /// What is kept for decisions between availability zones.
+    pub fn zones(&self) -> &ZoneDesk {
+        &self.zones
+    }
+
+    /// Reads the table of peers.
+    pub fn with_members<T>(&self, read: impl FnOnce(&MembershipTable) -> T) -> T {
+        read(&lock(&self.members))
+    }
+
     /// The requests under way: each holds a token until its answer ends.
     pub fn work(&self) -> &TaskTracker {
         &self.work
@@ -149,8 +162,10 @@
         let snapshot = self.snapshot();
         let now = self.ports.clock.now();
         let leaving = lock(&self.leaving).clone();
-        for service in snapshot.services() {
-            let key = PoolKey { service: service.name.clone(), zone: self.vm.zone.clone() };
+        let pairs =
+            snapshot.services().flat_map(|s| self.served_zones().into_iter().map(move |z| (s, z)));
+        for (service, zone) in pairs {
+            let key = PoolKey { service: service.name.clone(), zone };
             let targets = service.settings.targets.iter().filter(|(_, t)| t.zone == key.zone);
             self.pool(&key).set_targets(targets.map(|(name, target)| {
                 let drained =
@@ -173,10 +188,11 @@
 
     /// The serving peer that owns a pool; `None` where this VM owns it itself or nobody does.
     pub fn pool_owner(&self, key: &PoolKey) -> PoolOwner {
+        let zone = self.serving_zone(&key.zone);
         let members = lock(&self.members);
-        let peers: Vec<&PeerRecord> = members.serving_in(&key.zone, Instant::now()).collect();
+        let peers: Vec<&PeerRecord> = members.serving_in(&zone, Instant::now()).collect();
         let names = peers.iter().map(|p| &p.vm.name);
-        let here = self.vm.zone == key.zone && self.state().accepts_work();
+        let here = self.vm.zone == zone && self.state().accepts_work();
         let own = here.then_some(&self.vm.name);
         match choose_owner(key, names.chain(own)) {
             None => PoolOwner::Nobody,
@@ -210,6 +226,7 @@
             PeerMessage::Heartbeat(beat) => {
                 self.hear(beat).then(|| PeerReply::Heartbeat(self.heartbeat()))
             }
+            PeerMessage::Lease(ask) => Some(PeerReply::Lease(self.answer_lease(ask))),
             PeerMessage::Settings(query) => Some(PeerReply::Settings(self.newer_settings(&query))),
         }
     }
--- /dev/null
+++ b/crates/steer/src/node/entry_zones.rs
@@ -0,0 +1,305 @@
+//! What an entry VM knows and answers about other availability zones.
+
+use crate::{
+    AvailabilityZoneName, Call, EntryNode, EntryVm, LeaseAsk, LeaseGrant, LeaseHolder, LeaseItem,
+    LentSlots, Permit, PlatformVm, PoolKey, PoolOwner, PoolRoom, RegionName, ShareKey, ShareTotal,
+    ShiftDesk, ShiftSettings, ShiftStatus, VmKindTag, VmName, ZoneView, nearest_neighbour,
+    order_zones, plan_zones,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time of a request where none has been seen yet.
+const FIRST_GUESS: Duration = Duration::from_millis(50);
+
+impl EntryNode {
+    /// This process as a holder of leases.
+    pub fn lease_holder(&self) -> LeaseHolder {
+        LeaseHolder { incarnation: self.vm().incarnation, vm: self.vm().name.clone() }
+    }
+
+    /// Takes the platform's list of VMs: who may vote for the region's coordinator.
+    pub fn set_roster(&self, vms: &[PlatformVm]) {
+        let snapshot = self.snapshot();
+        let own = Some(&self.vm().region);
+        let ours = vms.iter().filter(|vm| vm.kind == VmKindTag::Entry);
+        let ours = ours.filter(|vm| snapshot.region_of(&vm.zone) == own);
+        *self.zones().roster() =
+            ours.map(|vm| (VmName::from(&*vm.name), vm.address)).collect::<BTreeMap<_, _>>();
+    }
+
+    /// The entry VMs of this region: those that the platform lists and those that are heard.
+    /// Empty before the first list came, so that nobody elects itself alone.
+    pub fn region_roster(&self) -> BTreeMap<VmName, SocketAddr> {
+        let mut roster = self.zones().roster().clone();
+        if roster.is_empty() {
+            return roster;
+        }
+        roster.insert(self.vm().name.clone(), self.vm().addresses.peers);
+        self.with_members(|members| {
+            for peer in members.live(Instant::now()).filter(|p| p.vm.region == self.vm().region) {
+                roster.insert(peer.vm.name.clone(), peer.vm.addresses.peers);
+            }
+        });
+        roster
+    }
+
+    /// The zone whose entry VMs serve a zone's targets: its own, or the one that adopted them.
+    pub fn serving_zone(&self, zone: &AvailabilityZoneName) -> AvailabilityZoneName {
+        self.zones().adopted().get(zone).unwrap_or(zone).clone()
+    }
+
+    /// The zones whose targets this VM's zone serves.
+    pub fn served_zones(&self) -> Vec<AvailabilityZoneName> {
+        let own = &self.vm().zone;
+        let adopted = self.zones().adopted();
+        let theirs = adopted.iter().filter(|(_, by)| *by == own).map(|(zone, _)| zone.clone());
+        std::iter::once(own.clone()).chain(theirs).collect()
+    }
+
+    /// Finds the zones that have lost their entry VMs; tells whether that changed.
+    pub fn refresh_adoptions(&self) -> bool {
+        let now = Instant::now();
+        let mut served: BTreeSet<AvailabilityZoneName> =
+            self.with_members(|m| m.serving(now).map(|p| p.vm.zone.clone()).collect());
+        if self.state().accepts_work() {
+            served.insert(self.vm().zone.clone());
+        }
+        let snapshot = self.snapshot();
+        let mut orphans = self.zones().adoptions();
+        let found: BTreeMap<_, _> = snapshot
+            .zones()
+            .filter(|(zone, _)| orphans.is_orphan(zone, &served, now))
+            .filter_map(|(zone, _)| {
+                Some((zone.clone(), nearest_neighbour(&snapshot, zone, &served)?))
+            })
+            .collect();
+        let mut adopted = self.zones().adopted();
+        let changed = *adopted != found;
+        *adopted = found;
+        changed
+    }
+
+    /// A live peer by name.
+    pub fn peer(&self, name: &VmName) -> Option<EntryVm> {
+        self.with_members(|members| {
+            members.live(Instant::now()).find(|p| p.vm.name == *name).map(|p| p.vm.clone())
+        })
+    }
+
+    /// Answers a peer that asks for a lease.
+    pub fn answer_lease(&self, ask: LeaseAsk) -> LeaseGrant {
+        let now = Instant::now();
+        match ask.item {
+            LeaseItem::Room(key) => self.lend_room(&key, ask.holder, ask.amount, now),
+            LeaseItem::Share(key) => self.lend_share(&key, &ask.holder, ask.amount, now),
+            LeaseItem::Vote => self.zones().shares().vote(ask.holder, now),
+        }
+    }
+
+    fn lend_room(
+        &self,
+        key: &PoolKey,
+        holder: LeaseHolder,
+        amount: u64,
+        now: Instant,
+    ) -> LeaseGrant {
+        let owned = self.pool_owner(key) == PoolOwner::Here;
+        if !self.zones().lent().may_lend(key, owned, now) {
+            return LeaseGrant::default();
+        }
+        if amount == 0 {
+            let returned = self.zones().lent().give_back(key, &holder);
+            drop(returned);
+            return LeaseGrant::default();
+        }
+        let pool = self.pool(key);
+        let spare = u64::from(LentSlots::spare(pool.room())).min(amount);
+        let permits: Vec<Permit> = (0..spare).map_while(|_| pool.try_admit()).collect();
+        self.zones().lent().lend(key, holder, permits, now)
+    }
+
+    fn lend_share(
+        &self,
+        key: &ShareKey,
+        holder: &LeaseHolder,
+        amount: u64,
+        now: Instant,
+    ) -> LeaseGrant {
+        let roster: BTreeSet<VmName> = self.region_roster().into_keys().collect();
+        let total = ShareTotal::read(&self.snapshot(), key, roster.len() as u64);
+        let mut shares = self.zones().shares();
+        shares.grant(key, holder, amount, total.lent, &roster, now)
+    }
+
+    /// Takes a lent slot for a request that a peer handed over with a lease.
+    pub fn redeem_room(&self, key: &PoolKey, lease: u64, peer: &VmName) -> Option<Permit> {
+        let owned = self.pool_owner(key) == PoolOwner::Here;
+        let now = Instant::now();
+        let mut lent = self.zones().lent();
+        // A VM that no longer owns the pool forgets what it lent.
+        lent.may_lend(key, owned, now);
+        lent.redeem(key, lease, peer, now)
+    }
+
+    /// The allowances that the entry VMs of this region divide.
+    pub fn share_keys(&self) -> Vec<ShareKey> {
+        let snapshot = self.snapshot();
+        let own = &self.vm().region;
+        let links = snapshot.fleet().map(|f| f.links.as_slice()).unwrap_or_default();
+        let others = links.iter().filter(|l| l.between.contains(own));
+        let others = others.flat_map(|l| l.between.iter().filter(|r| *r != own));
+        let links = others.map(|to| ShareKey::Link { from: own.clone(), to: to.clone() });
+        let shifts = snapshot.shifts().iter().filter(|s| s.from == *own).map(ShiftDesk::key);
+        links.chain(shifts).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// The link towards a region, `None` where settings name none or the region is this one.
+    pub fn link_to(&self, region: &RegionName) -> Option<ShareKey> {
+        let own = &self.vm().region;
+        let snapshot = self.snapshot();
+        let mut links = snapshot.fleet()?.links.iter();
+        let known = own != region && links.any(|link| link.joins(own, region));
+        known.then(|| ShareKey::Link { from: own.clone(), to: region.clone() })
+    }
+
+    /// The shift that a request to a region counts for.
+    pub fn shift_to(&self, call: &Call, region: &RegionName) -> Option<ShareKey> {
+        let own = &self.vm().region;
+        let now = self.ports().clock.now();
+        let matches = |s: &&ShiftSettings| {
+            s.from == *own && s.to == *region && s.service == call.service.name && s.start <= now
+        };
+        self.snapshot().shifts().iter().find(matches).map(ShiftDesk::key)
+    }
+
+    /// The zones that a request tries, in order.
+    pub fn plan(&self, call: &Call) -> Vec<AvailabilityZoneName> {
+        let snapshot = self.snapshot();
+        let name = &call.service.name;
+        let wanted = self.wanted_region(call);
+        let now = self.ports().clock.now();
+        let zones = order_zones(&snapshot, &call.service, &self.vm().zone, now);
+        let views = zones.into_iter().map(|zone| ZoneView {
+            delay: self.delay_to(&zone),
+            room: self.room_of(&PoolKey { service: name.clone(), zone: zone.clone() }),
+            wanted: snapshot.region_of(&zone) == Some(&wanted),
+            zone,
+        });
+        let (own, others): (Vec<_>, Vec<_>) = views.partition(|view| view.zone == self.vm().zone);
+        let time = self.zones().shifts().home_time(name, Instant::now()).unwrap_or(FIRST_GUESS);
+        plan_zones(own.first(), others, time, &mut rand::rng())
+    }
+
+    /// The region that the next request goes to by shift or by share.
+    fn wanted_region(&self, call: &Call) -> RegionName {
+        let own = &self.vm().region;
+        let name = &call.service.name;
+        if let Some(region) = self.zones().shifts().pick(name) {
+            return region;
+        }
+        let shares = call.service.settings.shares.get(own);
+        let chosen = shares.and_then(|shares| self.zones().split().choose(name, shares));
+        chosen.unwrap_or_else(|| own.clone())
+    }
+
+    fn delay_to(&self, zone: &AvailabilityZoneName) -> Duration {
+        let delay = self.snapshot().delay_ms(&self.vm().zone, zone);
+        delay.map_or(Duration::from_secs(1), |ms| Duration::from_secs_f64(ms.max(0.0) / 1000.0))
+    }
+
+    /// The room of a pool: exact where this VM owns it, else what its owner told last, and
+    /// nothing where the owner has just refused to lend.
+    fn room_of(&self, key: &PoolKey) -> Option<PoolRoom> {
+        let now = Instant::now();
+        let known = match self.pool_owner(key) {
+            PoolOwner::Here => return Some(self.pool(key).room()),
+            PoolOwner::Nobody => return None,
+            PoolOwner::Peer(owner) => self.with_members(|members| {
+                let owner = members.live(now).find(|p| p.vm.name == owner.name)?;
+                owner.room.get(key).copied()
+            }),
+        };
+        let room = self.zones().room();
+        let at_hand = room.at_hand(key, now) as u32;
+        let refused = room.was_refused(key, now);
+        known.map(|known| PoolRoom {
+            free: if refused { at_hand } else { known.free.max(at_hand) },
+            ..known
+        })
+    }
+
+    /// Takes a step along the ramps of this region's shifts; gives those whose phase is new.
+    pub fn step_shifts(&self) -> Vec<ShiftStatus> {
+        let snapshot = self.snapshot();
+        let (now, clock) = (Instant::now(), self.ports().clock.now());
+        let ours = snapshot.shifts().iter().filter(|s| s.from == self.vm().region);
+        let ours: Vec<&ShiftSettings> = ours.collect();
+        let keys: Vec<ShareKey> = ours.iter().map(|s| ShiftDesk::key(s)).collect();
+        self.zones().shifts().retain(&keys);
+        let mut changed = Vec::new();
+        for shift in ours {
+            let (warm, way) = (self.warm_part(shift), self.way_to(&shift.to));
+            let started = shift.start <= clock;
+            let phase = self.zones().shifts().step(shift, started, warm, way, now);
+            if phase.is_some() {
+                changed.push(self.shift_status(shift));
+            }
+        }
+        changed
+    }
+
+    /// Part of the receiving region's configured slots that its pools have in service.
+    fn warm_part(&self, shift: &ShiftSettings) -> f64 {
+        let snapshot = self.snapshot();
+        let now = self.ports().clock.now();
+        let Some(service) = snapshot.service(&shift.service) else { return 0.0 };
+        let mut zones: BTreeMap<&AvailabilityZoneName, u32> = BTreeMap::new();
+        for (name, target) in &service.settings.targets {
+            let there = snapshot.region_of(&target.zone) == Some(&shift.to);
+            if there && !snapshot.is_drained(name, &target.zone, now) {
+                *zones.entry(&target.zone).or_default() += target.slots;
+            }
+        }
+        let all: u32 = zones.values().sum();
+        let in_service = |zone: &AvailabilityZoneName| {
+            let key = PoolKey { service: shift.service.clone(), zone: zone.clone() };
+            self.room_of(&key).map_or(0, |room| room.slots)
+        };
+        let ready: u32 = zones.keys().map(|zone| in_service(zone)).sum();
+        if all == 0 { 0.0 } else { f64::from(ready) / f64::from(all) }
+    }
+
+    fn way_to(&self, region: &RegionName) -> Duration {
+        let snapshot = self.snapshot();
+        let zone = snapshot.region(region).and_then(|r| r.zones.first());
+        zone.map(|zone| self.delay_to(zone)).unwrap_or_default()
+    }
+
+    /// What this VM does for each shift that leaves its region.
+    pub fn shift_statuses(&self) -> Vec<ShiftStatus> {
+        let snapshot = self.snapshot();
+        let ours = snapshot.shifts().iter().filter(|s| s.from == self.vm().region);
+        ours.map(|shift| self.shift_status(shift)).collect()
+    }
+
+    fn shift_status(&self, shift: &ShiftSettings) -> ShiftStatus {
+        let key = ShiftDesk::key(shift);
+        let (moving, phase) = self.zones().shifts().progress(&key);
+        let share = self.zones().shares().status(&key, Instant::now());
+        ShiftStatus {
+            cap: share.limit,
+            from: shift.from.clone(),
+            moving,
+            phase,
+            service: shift.service.clone(),
+            share: shift.share,
+            to: shift.to.clone(),
+            used: share.used,
+        }
+    }
+}
--- a/crates/steer/src/node/mod.rs
+++ b/crates/steer/src/node/mod.rs
@@ -2,8 +2,11 @@
 
 mod entry_node;
 mod entry_ports;
+mod entry_zones;
+mod zone_desk;
 
 pub use self::{
     entry_node::{EntryNode, PoolOwner},
     entry_ports::EntryPorts,
+    zone_desk::ZoneDesk,
 };
--- a/crates/steer/src/pool/mod.rs
+++ b/crates/steer/src/pool/mod.rs
@@ -6,6 +6,8 @@
 mod target_pool;
 mod ticket;
 
+pub(crate) use self::pool_owner::choose_by_hash;
+
 pub use self::{
     permit::Permit, pool_key::PoolKey, pool_owner::choose_owner, target_pool::TargetPool,
     ticket::Ticket,
--- a/crates/steer/src/pool/pool_owner.rs
+++ b/crates/steer/src/pool/pool_owner.rs
@@ -2,6 +2,7 @@
 
 use super::PoolKey;
 use crate::VmName;
+use std::fmt::Display;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Chooses a pool's owner among the serving entry VMs of its zone by rendezvous hashing.
@@ -19,5 +20,13 @@
     key: &PoolKey,
     vms: impl IntoIterator<Item = &'a VmName>,
 ) -> Option<&'a VmName> {
-    vms.into_iter().max_by_key(|vm| (xxh3_64(format!("{key}/{vm}").as_bytes()), *vm))
+    choose_by_hash(key, vms)
+}
+
+/// Chooses a VM for a matter by rendezvous hashing.
+pub(crate) fn choose_by_hash<'a>(
+    matter: &impl Display,
+    vms: impl IntoIterator<Item = &'a VmName>,
+) -> Option<&'a VmName> {
+    vms.into_iter().max_by_key(|vm| (xxh3_64(format!("{matter}/{vm}").as_bytes()), *vm))
 }
--- a/crates/steer/src/pool/target_pool.rs
+++ b/crates/steer/src/pool/target_pool.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Takes a slot that is free now and that no request waits for.
+    pub fn try_admit(self: &Arc<Self>) -> Option<Permit> {
+        let mut state = self.lock();
+        if state.queue.iter().any(|waiting| !waiting.is_closed()) {
+            return None;
+        }
+        self.take_slot(&mut state)
+    }
+
     /// Free slots and waiting requests now.
     pub fn room(&self) -> PoolRoom {
         let state = self.lock();
@@ -114,12 +123,17 @@
             state.queue.pop_front();
         }
         state.queue.front()?;
+        let permit = self.take_slot(&mut state)?;
+        let sender = state.queue.pop_front()?;
+        Some((sender, permit))
+    }
+
+    fn take_slot(self: &Arc<Self>, state: &mut State) -> Option<Permit> {
         let open = state.targets.iter().filter(|(_, t)| !t.drained);
         let target = choose_target(open.map(|(name, t)| (name, t.busy, t.slots)))?.clone();
         let slots = state.targets.get_mut(&target)?;
         slots.busy += 1;
         let address = slots.address;
-        let sender = state.queue.pop_front()?;
-        Some((sender, Permit { address, pool: Arc::clone(self), target }))
+        Some(Permit { address, pool: Arc::clone(self), target })
     }
 }
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -1,7 +1,7 @@
 //! The port towards other entry VMs.
 
 use super::{Body, SendError};
-use crate::{EntryVm, PoolKey, SettingsPath, VmState};
+use crate::{EntryVm, LeaseAsk, LeaseGrant, PoolKey, SettingsPath, VmState};
 use async_trait::async_trait;
 use displaydoc::Display;
 use http::{Request, Response};
@@ -61,6 +61,8 @@
 pub enum PeerMessage {
     /// Tells about the sender; answered by the receiver's own heartbeat.
     Heartbeat(Heartbeat),
+    /// Asks for a lease, renews one or gives it back.
+    Lease(LeaseAsk),
     /// Asks for newer settings.
     Settings(SettingsQuery),
 }
@@ -70,6 +72,8 @@
 pub enum PeerReply {
     /// The receiver's own heartbeat.
     Heartbeat(Heartbeat),
+    /// What is granted.
+    Lease(LeaseGrant),
     /// Settings that the asker lacks.
     Settings(SettingsBatch),
 }
--- /dev/null
+++ b/crates/steer/src/routing/adoption.rs
@@ -0,0 +1,64 @@
+//! Which zone serves the targets of a zone that has lost all its entry VMs.
+
+use crate::{AvailabilityZoneName, Snapshot};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// The zone of the same region, nearest by delay and then by name, that has entry VMs.
+pub fn nearest_neighbour(
+    snapshot: &Snapshot,
+    zone: &AvailabilityZoneName,
+    served: &BTreeSet<AvailabilityZoneName>,
+) -> Option<AvailabilityZoneName> {
+    let region = snapshot.region_of(zone)?;
+    let delay = |other: &AvailabilityZoneName| snapshot.delay_ms(zone, other).unwrap_or(f64::MAX);
+    served
+        .iter()
+        .filter(|other| *other != zone && snapshot.region_of(other) == Some(region))
+        .min_by(|a, b| delay(a).total_cmp(&delay(b)).then_with(|| a.cmp(b)))
+        .cloned()
+}
+
+/// Remembers since when zones have no entry VM, so that a short gap moves nothing.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use steer::Adoptions;
+/// use tokio::time::{Duration, Instant};
+/// let (mut adoptions, start) = (Adoptions::new(), Instant::now());
+/// let none = BTreeSet::new();
+/// assert!(!adoptions.is_orphan(&"lis-a".into(), &none, start));
+/// assert!(adoptions.is_orphan(&"lis-a".into(), &none, start + Duration::from_secs(4)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Adoptions {
+    empty: BTreeMap<AvailabilityZoneName, Instant>,
+}
+
+impl Adoptions {
+    /// Time without an entry VM after which a zone's targets are adopted.
+    pub const AFTER: Duration = Duration::from_secs(3);
+
+    /// Makes a record in which each zone has its entry VMs.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Tells whether a zone has been without entry VMs long enough to be adopted.
+    pub fn is_orphan(
+        &mut self,
+        zone: &AvailabilityZoneName,
+        served: &BTreeSet<AvailabilityZoneName>,
+        now: Instant,
+    ) -> bool {
+        if served.contains(zone) {
+            self.empty.remove(zone);
+            return false;
+        }
+        let since = *self.empty.entry(zone.clone()).or_insert(now);
+        now.saturating_duration_since(since) >= Self::AFTER
+    }
+}
--- a/crates/steer/src/routing/mod.rs
+++ b/crates/steer/src/routing/mod.rs
@@ -1,5 +1,17 @@
-//! Which availability zone serves a request.
+//! Which availability zone serves a request, and the room that zones lend to each other.
 
+mod adoption;
+mod lent_slots;
+mod region_split;
+mod room_desk;
 mod zone_order;
+mod zone_plan;
 
-pub use self::zone_order::order_zones;
+pub use self::{
+    adoption::{Adoptions, nearest_neighbour},
+    lent_slots::LentSlots,
+    region_split::RegionSplit,
+    room_desk::{RoomDesk, RoomTicket},
+    zone_order::order_zones,
+    zone_plan::{ZoneView, plan_zones},
+};
--- /dev/null
+++ b/crates/steer/src/shares/mod.rs
@@ -0,0 +1,13 @@
+//! Allowances a second that the entry VMs of a region divide among themselves.
+
+mod candidacy;
+mod share_desk;
+mod share_total;
+mod window_limiter;
+
+pub use self::{
+    candidacy::Candidacy,
+    share_desk::{ShareDesk, ShareStatus},
+    share_total::ShareTotal,
+    window_limiter::WindowLimiter,
+};
--- /dev/null
+++ b/crates/steer/src/shift/mod.rs
@@ -0,0 +1,13 @@
+//! Traffic shifts between regions.
+
+mod shift_desk;
+mod shift_run;
+mod shift_signs;
+mod shift_status;
+
+pub use self::{
+    shift_desk::ShiftDesk,
+    shift_run::ShiftRun,
+    shift_signs::{ShiftSigns, Tally},
+    shift_status::{ShiftPhase, ShiftReason, ShiftStatus},
+};
