--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask_lease;
 mod attempt;
+mod backoff;
 mod borrow_room;
 mod call;
 mod refusal;
@@ -12,11 +13,13 @@
 mod run_in_pool;
 mod serve_request;
 mod talk_to_peer;
+mod watch_roster;
 mod watch_settings;
 mod watch_vms;
 
 pub use self::{
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
+    backoff::Backoff,
     call::{Call, Origin},
     refusal::Refusal,
     renew_room::renew_room,
@@ -24,6 +27,7 @@
     run_entry::run_entry,
     serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
     talk_to_peer::talk_to_peer,
+    watch_roster::watch_roster,
     watch_settings::watch_settings,
     watch_vms::watch_vms,
 };
--- a/crates/steer/src/flows/renew_shares.rs
+++ b/crates/steer/src/flows/renew_shares.rs
@@ -44,7 +44,10 @@
 
 /// The VM that this one asks for shares: the one that has its vote, so that a coordinator stays
 /// in office when another VM comes; else the one that all VMs with the same view choose.
-fn coordinator(node: &EntryNode, roster: &BTreeMap<VmName, SocketAddr>) -> Option<VmName> {
+pub(super) fn coordinator(
+    node: &EntryNode,
+    roster: &BTreeMap<VmName, SocketAddr>,
+) -> Option<VmName> {
     let now = Instant::now();
     let names: BTreeSet<VmName> = roster.keys().cloned().collect();
     let voted = {
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -69,7 +69,7 @@
 }
 
 async fn try_zones(node: &EntryNode, call: &Call, mut attempt: Attempt<Unsent>) -> Tried {
-    for zone in node.plan(call) {
+    for zone in node.plan_route(call) {
         let key = PoolKey { service: call.service.name.clone(), zone };
         let result = match node.pool_owner(&key) {
             PoolOwner::Here => {
--- a/crates/steer/src/node/entry_zones.rs
+++ b/crates/steer/src/node/entry_zones.rs
@@ -178,7 +178,7 @@
     }
 
     /// The zones that a request tries, in order.
-    pub fn plan(&self, call: &Call) -> Vec<AvailabilityZoneName> {
+    pub fn plan_route(&self, call: &Call) -> Vec<AvailabilityZoneName> {
         let snapshot = self.snapshot();
         let name = &call.service.name;
         let wanted = self.wanted_region(call);
