--- a/crates/steer/src/flows/borrow_room.rs
+++ b/crates/steer/src/flows/borrow_room.rs
@@ -53,12 +53,13 @@
 /// Asks a pool's owner for as many slots as are wanted, unless it has just refused.
 pub(super) async fn ask_for_room(node: &EntryNode, key: &PoolKey, owner: &EntryVm) {
     let now = Instant::now();
+    let round_trip = node.delay_to(&owner.zone) * 2;
     let want = {
         let mut room = node.zones().room();
         if room.was_refused(key, now) {
             return;
         }
-        room.want(key, now)
+        room.want(key, round_trip, now)
     };
     if want == 0 {
         return;
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -29,5 +29,5 @@
     talk_to_peer::talk_to_peer,
     watch_roster::watch_roster,
     watch_settings::watch_settings,
-    watch_vms::watch_vms,
+    watch_vms::{tell_all, watch_vms},
 };
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -5,8 +5,8 @@
     borrow_room::borrow_room, run_in_pool::run_in_pool, serve_request::set_header,
 };
 use crate::{
-    Body, EntryNode, EntryVm, ErrorKind, Outcome, PoolKey, PoolOwner, RoomTicket, SendError,
-    VmName, empty_body, pace_body,
+    Body, EntryNode, EntryVm, ErrorKind, Outcome, Permit, PoolKey, PoolOwner, RegionName,
+    RoomTicket, SendError, VmName, empty_body, pace_body,
 };
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body::Body as _;
@@ -18,7 +18,7 @@
 /// Header with the availability zone of the pool that a request is for.
 const ZONE_HEADER: HeaderName = HeaderName::from_static("x-pool-zone");
 /// Time between two looks for room elsewhere.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Runs a request of a caller where there is room, or one that a peer handed over.
 pub(super) async fn route_request(
@@ -49,9 +49,10 @@
     mut attempt: Attempt<Unsent>,
 ) -> Result<Response<Body>, Refusal> {
     let give_up = Instant::now() + call.time_left() / 2;
+    let wanted = node.wanted_region(call);
     let mut place = None;
     loop {
-        match try_zones(node, call, attempt).await {
+        match try_zones(node, call, attempt, &wanted).await {
             Tried::Done(result) => return result,
             Tried::NoRoom(back) => attempt = back,
         }
@@ -68,22 +69,21 @@
     NoRoom(Attempt<Unsent>),
 }
 
-async fn try_zones(node: &EntryNode, call: &Call, mut attempt: Attempt<Unsent>) -> Tried {
-    for zone in node.plan_route(call) {
+async fn try_zones(
+    node: &EntryNode,
+    call: &Call,
+    mut attempt: Attempt<Unsent>,
+    wanted: &RegionName,
+) -> Tried {
+    for zone in node.plan_route(call, wanted) {
         let key = PoolKey { service: call.service.name.clone(), zone };
         let result = match node.pool_owner(&key) {
             PoolOwner::Here => {
-                let start = Instant::now();
-                let result = run_in_pool(node, call, attempt, &key, None).await;
-                note_home(node, call, &result, start);
-                return Tried::Done(result);
+                return Tried::Done(run_or_move(node, call, attempt, &key).await);
             }
             PoolOwner::Nobody => continue,
             PoolOwner::Peer(peer) if peer.zone == node.vm().zone => {
-                let start = Instant::now();
-                let result = hand_off(node, call, attempt, &peer, &key, None).await;
-                note_home(node, call, &result, start);
-                result
+                hand_off(node, call, attempt, &peer, &key, None).await
             }
             PoolOwner::Peer(peer) => move_to(node, call, attempt, &peer, &key).await,
         };
@@ -98,6 +98,63 @@
     Tried::NoRoom(attempt)
 }
 
+/// Waits in the queue of a pool that this VM owns and looks for room elsewhere meanwhile,
+/// whichever comes first.
+async fn run_or_move(
+    node: &EntryNode,
+    call: &Call,
+    attempt: Attempt<Unsent>,
+    key: &PoolKey,
+) -> Result<Response<Body>, Refusal> {
+    let pool = node.pool(key);
+    let ticket = call.ticket();
+    let place = tokio::select! {
+        biased;
+        permit = pool.admit(&ticket) => Place::Here(permit),
+        place = look_elsewhere(node, call, key) => place,
+    };
+    match place {
+        Place::Here(Ok(permit)) => {
+            let start = Instant::now();
+            let result = run_in_pool(node, call, attempt, key, Some(permit)).await;
+            note_home(node, call, &result, start);
+            result
+        }
+        Place::Here(Err(kind)) => Err(attempt.refuse_not_run(kind)),
+        Place::There(peer, there, ticket) => {
+            match hand_over(node, call, attempt, &peer, &there, ticket).await {
+                Ok(response) => Ok(response),
+                Err(AttemptError::NotSent(back, _)) => {
+                    run_in_pool(node, call, back, key, None).await
+                }
+                Err(AttemptError::Sent(sent, kind)) => Err(sent.refuse_unknown(kind)),
+            }
+        }
+    }
+}
+
+/// Where a request that waited can run.
+enum Place {
+    Here(Result<Permit, ErrorKind>),
+    There(Box<EntryVm>, PoolKey, RoomTicket),
+}
+
+/// Looks again and again for a slot of a zone that is nearer than the end of the queue.
+async fn look_elsewhere(node: &EntryNode, call: &Call, key: &PoolKey) -> Place {
+    let own = &node.vm().region;
+    loop {
+        let plan = node.plan_route(call, own);
+        for zone in plan.into_iter().take_while(|zone| *zone != key.zone) {
+            let there = PoolKey { service: key.service.clone(), zone };
+            let PoolOwner::Peer(peer) = node.pool_owner(&there) else { continue };
+            if let Some(ticket) = borrow_room(node, call, &there, &peer).await {
+                return Place::There(peer, there, ticket);
+            }
+        }
+        sleep(LOOK_AGAIN).await;
+    }
+}
+
 /// Moves a request to another zone: only with a slot that its owner granted, and only under the
 /// cap of the shift that it counts for.
 async fn move_to(
@@ -107,15 +164,27 @@
     peer: &EntryVm,
     key: &PoolKey,
 ) -> Result<Response<Body>, AttemptError> {
-    let shift = node.shift_to(call, &peer.region);
     let ticket = borrow_room(node, call, key, peer).await;
-    let start = Instant::now();
-    if let Some(shift) = &shift {
-        node.zones().shifts().note_ask(shift, ticket.is_some(), start);
+    if let Some(shift) = node.shift_to(call, &peer.region) {
+        node.zones().shifts().note_ask(&shift, ticket.is_some(), Instant::now());
     }
-    let Some(ticket) = ticket else {
-        return Err(AttemptError::NotSent(attempt, "no room granted".into()));
-    };
+    match ticket {
+        Some(ticket) => hand_over(node, call, attempt, peer, key, ticket).await,
+        None => Err(AttemptError::NotSent(attempt, "no room granted".into())),
+    }
+}
+
+/// Hands a request over in a lent slot, under the cap of the shift that it counts for.
+async fn hand_over(
+    node: &EntryNode,
+    call: &Call,
+    attempt: Attempt<Unsent>,
+    peer: &EntryVm,
+    key: &PoolKey,
+    ticket: RoomTicket,
+) -> Result<Response<Body>, AttemptError> {
+    let shift = node.shift_to(call, &peer.region);
+    let start = Instant::now();
     if let Some(shift) = &shift
         && node.zones().shares().take(shift, 1, start).is_err()
     {
@@ -167,7 +236,10 @@
     if !admitted || !node.served_zones().contains(&key.zone) {
         return Err(attempt.refuse_not_run(ErrorKind::NoRoom));
     }
-    let response = run_in_pool(node, call, attempt, key, lent).await?;
+    let response = match lent {
+        Some(permit) => run_in_pool(node, call, attempt, key, Some(permit)).await?,
+        None => run_or_move(node, call, attempt, key).await?,
+    };
     let Some(link) = known.and_then(|vm| node.link_to(&vm.region)) else { return Ok(response) };
     let pacer = node.zones().pacer().clone();
     Ok(response.map(|body| pace_body(body, pacer, link, call.rule.urgency)))
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,6 +1,6 @@
 //! The life of an entry VM.
 
-use super::{renew_room, renew_shares, watch_roster, watch_settings, watch_vms};
+use super::{renew_room, renew_shares, tell_all, watch_roster, watch_settings, watch_vms};
 use crate::{EntryNode, Joining, Stopped, Vm};
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -39,6 +39,7 @@
     stop.await;
     let vm = vm.drain();
     info!(node.log(), "vm: draining"; "requests" => node.work().len());
+    tell_all(&node).await;
     node.work().close();
     node.work().wait().await;
     let vm = vm.stop();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod choice;
 mod errors;
+mod explain;
 mod flows;
 mod lease;
 mod link;
@@ -32,6 +33,6 @@
 mod shift;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lease::*, link::*, lookup::*, membership::*, names::*, node::*,
-    pool::*, ports::*, routing::*, settings::*, shares::*, shift::*,
+    choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*, membership::*,
+    names::*, node::*, pool::*, ports::*, routing::*, settings::*, shares::*, shift::*,
 };
--- a/crates/steer/src/node/entry_zones.rs
+++ b/crates/steer/src/node/entry_zones.rs
@@ -177,17 +177,16 @@
         self.snapshot().shifts().iter().find(matches).map(ShiftDesk::key)
     }
 
-    /// The zones that a request tries, in order.
-    pub fn plan_route(&self, call: &Call) -> Vec<AvailabilityZoneName> {
+    /// The zones that a request tries, in order; those of the wanted region come first.
+    pub fn plan_route(&self, call: &Call, wanted: &RegionName) -> Vec<AvailabilityZoneName> {
         let snapshot = self.snapshot();
         let name = &call.service.name;
-        let wanted = self.wanted_region(call);
         let now = self.ports().clock.now();
         let zones = order_zones(&snapshot, &call.service, &self.vm().zone, now);
         let views = zones.into_iter().map(|zone| ZoneView {
             delay: self.delay_to(&zone),
             room: self.room_of(&PoolKey { service: name.clone(), zone: zone.clone() }),
-            wanted: snapshot.region_of(&zone) == Some(&wanted),
+            wanted: snapshot.region_of(&zone) == Some(wanted),
             zone,
         });
         let (own, others): (Vec<_>, Vec<_>) = views.partition(|view| view.zone == self.vm().zone);
@@ -196,7 +195,7 @@
     }
 
     /// The region that the next request goes to by shift or by share.
-    fn wanted_region(&self, call: &Call) -> RegionName {
+    pub fn wanted_region(&self, call: &Call) -> RegionName {
         let own = &self.vm().region;
         let name = &call.service.name;
         if let Some(region) = self.zones().shifts().pick(name) {
@@ -207,7 +206,8 @@
         chosen.unwrap_or_else(|| own.clone())
     }
 
-    fn delay_to(&self, zone: &AvailabilityZoneName) -> Duration {
+    /// One-way delay to a zone.
+    pub(crate) fn delay_to(&self, zone: &AvailabilityZoneName) -> Duration {
         let delay = self.snapshot().delay_ms(&self.vm().zone, zone);
         delay.map_or(Duration::from_secs(1), |ms| Duration::from_secs_f64(ms.max(0.0) / 1000.0))
     }
--- a/crates/steer/src/routing/lent_slots.rs
+++ b/crates/steer/src/routing/lent_slots.rs
@@ -22,9 +22,6 @@
 }
 
 impl LentSlots {
-    /// Part of a pool's slots, in hundredths, that stays with its own zone.
-    const RESERVE_PERCENT: u32 = 10;
-
     /// Makes a ledger with nothing lent. The numbers of leases begin at the VM's incarnation, so
     /// that a replacement never takes a lease of its predecessor for its own.
     pub fn new(incarnation: u64) -> Self {
@@ -36,15 +33,14 @@
     /// ```
     /// use steer::{LentSlots, PoolRoom};
     /// let room = PoolRoom { free: 10, queued: 0, slots: 36 };
-    /// assert_eq!(LentSlots::spare(room), 3);
+    /// assert_eq!(LentSlots::spare(room), 5);
     /// assert_eq!(LentSlots::spare(PoolRoom { queued: 1, ..room }), 0);
     /// ```
     pub fn spare(room: PoolRoom) -> u32 {
         if room.queued > 0 {
             return 0;
         }
-        let reserve = (room.slots * Self::RESERVE_PERCENT).div_ceil(100);
-        room.free.saturating_sub(reserve).div_ceil(2)
+        room.free.div_ceil(2)
     }
 
     /// Notes whether this VM owns a pool, and tells whether it may lend: a new owner waits until
--- a/crates/steer/src/routing/room_desk.rs
+++ b/crates/steer/src/routing/room_desk.rs
@@ -31,9 +31,7 @@
     /// Most slots of one pool that a VM holds ahead of its demand.
     pub const MOST_AHEAD: u64 = 32;
     /// Time for which an owner that had no room is not asked again.
-    pub const REFUSED_WAIT: Duration = Duration::from_millis(100);
-    /// The demand that slots are held ahead for covers this part of a second.
-    const AHEAD_PART: u64 = 4;
+    pub const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
     /// Makes a desk that holds nothing.
     pub fn new() -> Self {
@@ -102,12 +100,12 @@
         leases.iter().map(|(_, lease)| lease.amount(now)).sum()
     }
 
-    /// How many more slots to ask for: what the demand of the last second needs ahead, and what
-    /// requests wait for now.
-    pub fn want(&mut self, key: &PoolKey, now: Instant) -> u64 {
+    /// How many more slots to ask for: what the demand of the last second uses up in one round
+    /// trip, and what requests wait for now.
+    pub fn want(&mut self, key: &PoolKey, round_trip: Duration, now: Instant) -> u64 {
         let at_hand = self.at_hand(key, now);
         let shelf = self.shelf(key);
-        let ahead = shelf.demand.used(now).div_ceil(Self::AHEAD_PART);
+        let ahead = (shelf.demand.used(now) as f64 * round_trip.as_secs_f64()).ceil() as u64;
         (ahead + shelf.waiting).min(Self::MOST_AHEAD).saturating_sub(at_hand)
     }
 
--- a/crates/steer/src/shares/share_total.rs
+++ b/crates/steer/src/shares/share_total.rs
@@ -33,13 +33,18 @@
         Self { floor, lent: whole - floor * vms.max(1) }
     }
 
-    /// A shift's cap is lent whole: a VM without a lease moves nothing.
+    /// Part of a shift's cap, in hundredths, that is used. The rest keeps the cap at the far end
+    /// too, where requests arrive closer together than they left.
+    const SHIFT_PERCENT: u64 = 95;
+
+    /// A shift's cap is lent: a VM without a lease moves nothing.
     ///
     /// ```
-    /// assert_eq!(steer::ShareTotal::of_shift(40).floor, 0);
+    /// assert_eq!(steer::ShareTotal::of_shift(40), steer::ShareTotal { floor: 0, lent: 38 });
+    /// assert_eq!(steer::ShareTotal::of_shift(1).lent, 1);
     /// ```
     pub fn of_shift(cap: u64) -> Self {
-        Self { floor: 0, lent: cap }
+        Self { floor: 0, lent: (cap * Self::SHIFT_PERCENT).div_ceil(100) }
     }
 
     /// Reads the whole of an allowance from settings; nothing where they don't name it.
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -9,5 +9,5 @@
     shift_desk::ShiftDesk,
     shift_run::ShiftRun,
     shift_signs::{ShiftSigns, Tally},
-    shift_status::{ShiftPhase, ShiftReason, ShiftStatus},
+    shift_status::{HoldReason, ShiftPhase, ShiftStatus},
 };
--- a/crates/steer/src/shift/shift_run.rs
+++ b/crates/steer/src/shift/shift_run.rs
@@ -1,6 +1,6 @@
 //! One shift as one VM carries it out.
 
-use super::{ShiftPhase, ShiftReason, ShiftSigns};
+use super::{HoldReason, ShiftPhase, ShiftSigns};
 use crate::ShiftSettings;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -74,7 +74,7 @@
         &mut self,
         settings: &ShiftSettings,
         started: bool,
-        reason: Option<ShiftReason>,
+        reason: Option<HoldReason>,
         now: Instant,
     ) -> ShiftPhase {
         if !started {
--- a/crates/steer/src/shift/shift_signs.rs
+++ b/crates/steer/src/shift/shift_signs.rs
@@ -1,6 +1,6 @@
 //! What a VM sees of the receiving side of a shift.
 
-use super::ShiftReason;
+use super::HoldReason;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -111,23 +111,23 @@
     /// Why the shift can't go forward; `None` where it can.
     ///
     /// ```
-    /// use steer::{ShiftReason, ShiftSigns};
+    /// use steer::{HoldReason, ShiftSigns};
     /// let good = ShiftSigns { seen: 100, warm: 1.0, ..ShiftSigns::default() };
     /// assert_eq!(good.reason(), None);
-    /// assert_eq!(ShiftSigns { failed: 0.2, ..good }.reason(), Some(ShiftReason::Failing));
+    /// assert_eq!(ShiftSigns { failed: 0.2, ..good }.reason(), Some(HoldReason::Failing));
     /// ```
-    pub fn reason(&self) -> Option<ShiftReason> {
+    pub fn reason(&self) -> Option<HoldReason> {
         let enough = self.seen >= Self::ENOUGH;
         if enough && self.failed > Self::FAILING {
-            return Some(ShiftReason::Failing);
+            return Some(HoldReason::Failing);
         }
         if enough && self.is_slow() {
-            return Some(ShiftReason::Slow);
+            return Some(HoldReason::Slow);
         }
         if self.warm < Self::WARM {
-            return Some(ShiftReason::Cold);
+            return Some(HoldReason::Cold);
         }
-        (self.denied > Self::FULL).then_some(ShiftReason::Full)
+        (self.denied > Self::FULL).then_some(HoldReason::Full)
     }
 
     fn is_slow(&self) -> bool {
--- a/crates/steer/src/shift/shift_status.rs
+++ b/crates/steer/src/shift/shift_status.rs
@@ -5,7 +5,7 @@
 
 /// Why a shift does not go forward.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
-pub enum ShiftReason {
+pub enum HoldReason {
     /// Targets of the receiving region are still warming up.
     #[display("the receiving region is cold")]
     Cold,
@@ -20,13 +20,13 @@
     Slow,
 }
 
-impl ShiftReason {
+impl HoldReason {
     /// Tells whether the receiving region suffers, so that traffic goes back.
     ///
     /// ```
-    /// use steer::ShiftReason;
-    /// assert!(ShiftReason::Failing.turns_back());
-    /// assert!(!ShiftReason::Full.turns_back());
+    /// use steer::HoldReason;
+    /// assert!(HoldReason::Failing.turns_back());
+    /// assert!(!HoldReason::Full.turns_back());
     /// ```
     pub fn turns_back(self) -> bool {
         matches!(self, Self::Failing | Self::Slow)
@@ -38,7 +38,7 @@
 pub enum ShiftPhase {
     /// The share stays where it is.
     #[display("paused: {_0}")]
-    Paused(ShiftReason),
+    Paused(HoldReason),
     /// The share grows.
     #[display("ramping")]
     Ramping,
@@ -47,7 +47,7 @@
     Reached,
     /// The share shrinks.
     #[display("turning back: {_0}")]
-    TurningBack(ShiftReason),
+    TurningBack(HoldReason),
     /// The start is still to come.
     #[display("waiting")]
     Waiting,
@@ -57,8 +57,8 @@
     /// Tells whether the receiving side holds the shift up.
     ///
     /// ```
-    /// use steer::{ShiftPhase, ShiftReason};
-    /// assert!(ShiftPhase::Paused(ShiftReason::Full).is_trouble());
+    /// use steer::{ShiftPhase, HoldReason};
+    /// assert!(ShiftPhase::Paused(HoldReason::Full).is_trouble());
     /// assert!(!ShiftPhase::Ramping.is_trouble());
     /// ```
     pub fn is_trouble(self) -> bool {
