--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod borrow_room;
 mod call;
+mod poll_targets;
 mod refusal;
 mod renew_room;
 mod renew_shares;
@@ -21,6 +22,7 @@
     attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
     backoff::Backoff,
     call::{Call, Origin},
+    poll_targets::poll_targets,
     refusal::Refusal,
     renew_room::renew_room,
     renew_shares::renew_shares,
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -5,8 +5,8 @@
     borrow_room::borrow_room, run_in_pool::run_in_pool, serve_request::set_header,
 };
 use crate::{
-    Body, EntryNode, EntryVm, ErrorKind, Outcome, Permit, PoolKey, PoolOwner, RegionName,
-    RoomTicket, SendError, VmName, empty_body, pace_body,
+    AdmitError, Body, EntryNode, EntryVm, ErrorKind, Outcome, Permit, PoolKey, PoolOwner,
+    RegionName, RoomTicket, SendError, VmName, empty_body, pace_body,
 };
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body::Body as _;
@@ -107,7 +107,8 @@
     key: &PoolKey,
 ) -> Result<Response<Body>, Refusal> {
     let pool = node.pool(key);
-    let ticket = call.ticket();
+    let bodyless = attempt.is_bodyless();
+    let ticket = call.ticket().bodyless(bodyless).whole(bodyless);
     let place = tokio::select! {
         biased;
         permit = pool.admit(&ticket) => Place::Here(permit),
@@ -120,7 +121,7 @@
             note_home(node, call, &result, start);
             result
         }
-        Place::Here(Err(kind)) => Err(attempt.refuse_not_run(kind)),
+        Place::Here(Err(error)) => Err(error.explain(attempt.refuse_not_run(error.kind))),
         Place::There(peer, there, ticket) => {
             match hand_over(node, call, attempt, &peer, &there, ticket).await {
                 Ok(response) => Ok(response),
@@ -135,7 +136,7 @@
 
 /// Where a request that waited can run.
 enum Place {
-    Here(Result<Permit, ErrorKind>),
+    Here(Result<Permit, AdmitError>),
     There(Box<EntryVm>, PoolKey, RoomTicket),
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(choose_owner(&PoolKey::new("briefs", "lis-a"), &vms).is_some());
 //! ```
 
+mod admission;
 mod choice;
 mod errors;
 mod explain;
@@ -27,12 +28,14 @@
 mod node;
 mod pool;
 mod ports;
+mod retry;
 mod routing;
 mod settings;
 mod shares;
 mod shift;
 
 pub use self::{
-    choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*, membership::*,
-    names::*, node::*, pool::*, ports::*, routing::*, settings::*, shares::*, shift::*,
+    admission::*, choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*,
+    membership::*, names::*, node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
+    shares::*, shift::*,
 };
--- a/crates/steer/tests/zone_decisions.rs
+++ b/crates/steer/tests/zone_decisions.rs
@@ -149,7 +149,7 @@
 }
 
 fn pool_of(slots: u32) -> Arc<TargetPool> {
-    let pool = Arc::new(TargetPool::new());
+    let pool = Arc::new(TargetPool::new(1));
     let name = TargetName::from("briefs-1");
     let address = "127.0.0.1:9".parse().unwrap();
     let target = TargetSettings { address, connections: 9, slots, zone: "por-a".into() };
