--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -3,6 +3,7 @@
 use super::{
     wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
     wire_exchange::WireExchange,
+    wire_lease::{LEASE, WireAsk, WireGrant},
 };
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
@@ -150,6 +151,12 @@
                     self.request(peer, method, &WireHeartbeat::from(&beat)).await?;
                 Ok(PeerReply::Heartbeat(Heartbeat::from(wire)))
             }
+            PeerMessage::Lease(ask) => {
+                let method = (LEASE, ControlPart::Other);
+                let wire: WireGrant = self.request(peer, method, &WireAsk::from(&ask)).await?;
+                let grant = wire.try_into().map_err(PeerError::Invalid)?;
+                Ok(PeerReply::Lease(grant))
+            }
             PeerMessage::Settings(query) => {
                 let method = (SETTINGS, ControlPart::Settings);
                 let wire: WireBatch = self.request(peer, method, &WireQuery::from(&query)).await?;
--- a/crates/steer/src/pool/mod.rs
+++ b/crates/steer/src/pool/mod.rs
@@ -10,6 +10,8 @@
 mod target_pool;
 mod ticket;
 
+pub(crate) use self::pool_owner::choose_by_hash;
+
 pub use self::{
     permit::{HedgeOrigin, Permit},
     pool_key::PoolKey,
--- a/crates/steer/src/pool/pool_state.rs
+++ b/crates/steer/src/pool/pool_state.rs
@@ -280,6 +280,33 @@
         }
     }
 
+    /// Takes a slot to be lent to another zone, if no request waits. What will run in it is not
+    /// known yet, so it counts for a class of its own and tells nothing about times.
+    pub(super) fn lend(&mut self, now: Instant) -> Option<Grant> {
+        self.refresh(now);
+        if !self.line.is_empty() {
+            return None;
+        }
+        let ticket = Ticket { urgency: Urgency::Interactive, ..Ticket::new("lent", "lent", now) };
+        let class = self.class(&ticket);
+        let place = self.choose_open(now, class, None)?;
+        let grant = Grant {
+            address: self.targets[place].address,
+            answered: false,
+            charged: Duration::ZERO,
+            class,
+            id: self.take_id(),
+            member: self.members.flow_of(&ticket.member).0,
+            since: now,
+            target: self.targets[place].name.clone(),
+            trial: false,
+            urgency: ticket.urgency,
+            whole: false,
+        };
+        self.begin(now, place, &grant);
+        Some(grant)
+    }
+
     /// Takes a slot for a second sending of a request, on another target than the first, if the
     /// pool has room and the budget allows it.
     pub(super) fn hedge(&mut self, now: Instant, ticket: &Ticket, first: &Grant) -> Option<Grant> {
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -1,7 +1,9 @@
 //! The port towards other entry VMs.
 
 use super::{Body, SendError};
-use crate::{ControlUsage, EntryVm, PoolKey, SettingsPath, TargetName, VmName, VmState};
+use crate::{
+    ControlUsage, EntryVm, LeaseAsk, LeaseGrant, PoolKey, SettingsPath, TargetName, VmName, VmState,
+};
 use async_trait::async_trait;
 use displaydoc::Display;
 use http::{Request, Response};
@@ -132,6 +134,8 @@
     Exchange(Exchange),
     /// Introduces the sender; answered by the receiver's own introduction.
     Heartbeat(Heartbeat),
+    /// Asks for a lease, renews one or gives it back.
+    Lease(LeaseAsk),
     /// Asks for newer settings.
     Settings(SettingsQuery),
 }
@@ -143,6 +147,8 @@
     Exchange(Exchange),
     /// The receiver's own introduction.
     Heartbeat(Heartbeat),
+    /// What is granted.
+    Lease(LeaseGrant),
     /// Settings that the asker lacks.
     Settings(SettingsBatch),
 }
