--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -50,7 +50,10 @@
     let mut lost: Option<(Attempt<Sent>, ErrorKind)> = None;
     for _ in 0..ATTEMPTS {
         let permit = match slot.take() {
-            Some(permit) => permit,
+            Some(mut permit) => {
+                permit.note_sending();
+                permit
+            }
             None => match run.admit().await {
                 Ok(permit) => permit,
                 Err(error) => return Err(refuse(attempt, lost, error)),
--- a/crates/steer/src/pool/permit.rs
+++ b/crates/steer/src/pool/permit.rs
@@ -36,6 +36,11 @@
         self.grant.trial
     }
 
+    /// Notes that the request is being sent, so that its target may run it.
+    pub fn note_sending(&mut self) {
+        self.grant.ended = false;
+    }
+
     /// Notes that the head of an answer came.
     pub fn note_answer(&mut self) {
         self.grant.answered = true;
