--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -34,12 +34,14 @@
 }
 
 /// Waits for a slot of a pool that this VM owns, and sends the request to its target; again to
-/// another one where that is safe and the budget allows it.
+/// another one where that is safe and the budget allows it. A request that comes with a slot
+/// takes that one first and doesn't queue.
 pub(super) async fn run_in_pool(
     node: &EntryNode,
     call: &Call,
     attempt: Attempt<Unsent>,
     key: &PoolKey,
+    mut slot: Option<Permit>,
 ) -> Result<Response<Body>, Refusal> {
     let (replay, mut attempt) = read_replay(call, attempt).await?;
     let bodyless = replay.as_ref().is_some_and(Replay::is_bodyless);
@@ -47,9 +49,12 @@
     let mut run = Run { call, node, pool: node.pool(key), replay, ticket };
     let mut lost: Option<(Attempt<Sent>, ErrorKind)> = None;
     for _ in 0..ATTEMPTS {
-        let permit = match run.admit().await {
-            Ok(permit) => permit,
-            Err(error) => return Err(refuse(attempt, lost, error)),
+        let permit = match slot.take() {
+            Some(permit) => permit,
+            None => match run.admit().await {
+                Ok(permit) => permit,
+                Err(error) => return Err(refuse(attempt, lost, error)),
+            },
         };
         run.ticket.avoid = Some(permit.target().clone());
         match run.send_hedged(attempt, permit).await {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -20,6 +20,8 @@
 mod errors;
 mod explain;
 mod flows;
+mod lease;
+mod link;
 mod lookup;
 mod membership;
 mod names;
@@ -29,8 +31,11 @@
 mod retry;
 mod routing;
 mod settings;
+mod shares;
+mod shift;
 
 pub use self::{
-    admission::*, choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*,
-    node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
+    admission::*, choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*,
+    membership::*, names::*, node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
+    shares::*, shift::*,
 };
--- a/crates/steer/src/pool/target_pool.rs
+++ b/crates/steer/src/pool/target_pool.rs
@@ -138,6 +138,12 @@
         Err(AdmitError::new(ErrorKind::DeadlineTooShort, Duration::ZERO))
     }
 
+    /// Takes a slot that is free now and that no request waits for, to be lent to another zone.
+    pub fn try_admit(self: &Arc<Self>) -> Option<Permit> {
+        let grant = self.lock().lend(Instant::now())?;
+        Some(Permit { grant, pool: Arc::clone(self) })
+    }
+
     /// Takes a slot of another target for a hedge, if the pool has room and the budget allows.
     pub fn hedge(self: &Arc<Self>, ticket: &Ticket, first: &HedgeOrigin) -> Option<Permit> {
         let grant = self.lock().hedge(Instant::now(), ticket, &first.0)?;
