Find the last good version behind a refused one after a full restart

Cause: a fleet whose VMs are all replaced had no version of a path whose newest one is refused, and documents that came into force with another were not offered to peers. Change: a watcher reads the kept versions of such a path; all paths that come into force are told; an empty subtree needs no team.

--- a/crates/adapters/src/platform/http_platform.rs
+++ b/crates/adapters/src/platform/http_platform.rs
@@ -187,6 +187,11 @@
         self.get_json::<WireBatch>(&path, wait + Self::ANSWER_WAIT).await.map(Into::into)
     }
 
+    async fn versions(&self, path: &str) -> Result<Vec<PlatformObject>, PlatformError> {
+        let versions = self.history(path).await?;
+        Ok(versions.into_iter().map(PlatformObject::from).collect())
+    }
+
     async fn vms(&self) -> Result<Vec<PlatformVm>, PlatformError> {
         let vms: Vec<WireVm> = self.get_json("/v1/vms", Self::ANSWER_WAIT).await?;
         Ok(vms.into_iter().map(PlatformVm::from).collect())
--- a/crates/ragwortswitch/tests/command_line.rs
+++ b/crates/ragwortswitch/tests/command_line.rs
@@ -6,7 +6,7 @@
 mod fixture;
 
 use adapters::{ConnectionPool, Listener, ListenerLimits, answer_operator};
-use fixture::{documents, entry_node};
+use fixture::{documents, empty_node, entry_node};
 use http::{Method, StatusCode};
 use lab::PlatformStandIn;
 use std::{
@@ -19,7 +19,7 @@
         atomic::{AtomicBool, Ordering},
     },
 };
-use steer::SettingsPath;
+use steer::{SettingsPath, watch_settings};
 use tokio::process::Command;
 
 /// Runs the binary and writes down the command, its exit code and what it printed.
@@ -270,3 +270,32 @@
     }
     insta::assert_snapshot!(table.replace(&vm.to_string(), "VM"));
 }
+
+#[tokio::test]
+async fn a_new_entry_vm_finds_the_last_good_version_behind_a_bad_one() {
+    let address = free_address();
+    let platform = platform_at(address).await;
+    let path = SettingsPath::Team("media".into());
+    platform.put(&path.to_platform(), "{ \"services\": {", "caio");
+    platform.put(
+        &path.to_platform(),
+        "{ \"services\": {}, \"drains\": [{ \"zone\": \"x\" }] }",
+        "caio",
+    );
+    let node = empty_node(address, false);
+    let watcher = Arc::clone(&node);
+    let watch = tokio::spawn(async move { watch_settings(&watcher).await });
+    let mut snapshot = node.watch_snapshot();
+    snapshot.wait_for(|s| s.service(&"media".into()).is_some()).await.unwrap();
+    watch.abort();
+    let (versions, refused) = node.with_tree(|tree| {
+        let versions: Vec<String> = tree.versions().map(|(p, v)| format!("{p}@{v}")).collect();
+        let refused: Vec<String> = tree.refused().map(|(p, v, _)| format!("{p}@{v}")).collect();
+        (versions, refused)
+    });
+    insta::assert_snapshot!(format!(
+        "in force: {}\nrefused: {}",
+        versions.join(" "),
+        refused.join(" ")
+    ));
+}
--- a/crates/steer/src/flows/watch_settings.rs
+++ b/crates/steer/src/flows/watch_settings.rs
@@ -63,6 +63,9 @@
         Some(revision) => platform.watch(prefix, revision, WATCH_WAIT).await?,
     };
     offer_all(node, &batch);
+    if after.is_none() {
+        recover_last_good(node).await?;
+    }
     if after.is_some_and(|revision| batch.revision < revision) {
         warn!(node.log(), "settings: the platform went back to an older state";
             "revision" => batch.revision, "seen" => after);
@@ -73,6 +76,24 @@
     Ok(Some(batch.revision))
 }
 
+/// Looks for the last good version of each path whose newest one is refused while none is in
+/// force here, as after a replacement of all VMs.
+async fn recover_last_good(node: &EntryNode) -> Result<(), PlatformError> {
+    let refused: Vec<SettingsPath> = node.with_tree(|tree| {
+        let paths = tree.refused().map(|(path, _, _)| path);
+        paths.filter(|path| tree.version(path).is_none()).cloned().collect()
+    });
+    for path in refused {
+        let versions = node.ports().platform.versions(&path.to_platform()).await?;
+        let good = versions.iter().filter_map(to_document).find(|d| node.offer_settings(d));
+        if let Some(document) = good {
+            warn!(node.log(), "settings: an older version is the last good one";
+                "path" => %path, "version" => document.version);
+        }
+    }
+    Ok(())
+}
+
 fn offer_all(node: &EntryNode, batch: &WatchBatch) {
     for document in batch.objects.iter().filter_map(to_document) {
         let held = node.with_tree(|tree| tree.version(&document.path));
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -129,6 +129,7 @@
                 return false;
             }
         };
+        let before: Vec<_> = tree.versions().map(|(path, v)| (path.clone(), v)).collect();
         match tree.put_in_force(checked) {
             Ok(()) => {}
             Err(PutError::OutOfBounds(problems)) => {
@@ -139,11 +140,19 @@
             }
             Err(PutError::Stale { .. } | PutError::Waiting) => return false,
         }
+        // Documents that waited may have come into force with this one.
+        let changed: Vec<_> = tree
+            .versions()
+            .map(|(path, v)| (path.clone(), v))
+            .filter(|held| !before.contains(held))
+            .collect();
         let snapshot = Arc::new(tree.to_snapshot());
         drop(tree);
-        info!(self.log, "settings: in force"; "path" => %path, "version" => version);
         self.rebuild(snapshot);
-        self.note_settings_change(path);
+        for (path, version) in &changed {
+            info!(self.log, "settings: in force"; "path" => %path, "version" => version);
+            self.note_settings_change(path);
+        }
         true
     }
 
--- a/crates/steer/src/ports/guarded_platform.rs
+++ b/crates/steer/src/ports/guarded_platform.rs
@@ -140,6 +140,10 @@
         self.call(self.wait + wait, PlatformError::Unavailable, watch).await
     }
 
+    async fn versions(&self, path: &str) -> Result<Vec<PlatformObject>, PlatformError> {
+        self.call(self.wait, PlatformError::Unavailable, self.inner.versions(path)).await
+    }
+
     async fn vms(&self) -> Result<Vec<PlatformVm>, PlatformError> {
         self.call(self.wait, PlatformError::Unavailable, self.inner.vms()).await
     }
--- a/crates/steer/src/ports/platform.rs
+++ b/crates/steer/src/ports/platform.rs
@@ -99,6 +99,15 @@
         wait: Duration,
     ) -> Result<WatchBatch, PlatformError>;
 
+    /// Reads the kept versions of an object, newest first; none where the platform keeps none.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable`, `RateLimited` or `Invalid`.
+    async fn versions(&self, _path: &str) -> Result<Vec<PlatformObject>, PlatformError> {
+        Ok(Vec::new())
+    }
+
     /// Lists live and leaving VMs; the list lags.
     ///
     /// # Errors
--- a/crates/steer/src/settings/bounds.rs
+++ b/crates/steer/src/settings/bounds.rs
@@ -55,6 +55,10 @@
         taken: &Taken,
         found: &mut Findings,
     ) -> TeamDocument {
+        if *document == TeamDocument::default() {
+            // What a deleted subtree leaves; it needs no team.
+            return TeamDocument::default();
+        }
         let Some(grant) = self.grant else {
             let known = self.fleet.teams.keys().map(TeamName::as_str);
             let near = nearest_name(self.team.as_str(), known);
--- a/crates/steer/tests/settings_bounds.rs
+++ b/crates/steer/tests/settings_bounds.rs
@@ -111,6 +111,8 @@
         ("teams/b", 3, team("y", "y.example", "yy-1", 8)),
         ("fleet", 4, fleet("", "\"y\"", 6, "\"n-b\"")),
         ("fleet", 5, fleet("\"x\"", "\"y\"", 10, "\"n-a\"")),
+        ("teams/b", 6, "{ \"services\": {} }".to_owned()),
+        ("fleet", 7, fleet("\"x\"", "\"y\"", 10, "\"n-a\"").replace("\"b\"", "\"c\"")),
     ];
     insta::assert_snapshot!(play(&steps));
 }
