--- a/crates/adapters/src/peers/rpc_server.rs
+++ b/crates/adapters/src/peers/rpc_server.rs
@@ -4,6 +4,7 @@
     rpc_peers::FRAME_BYTES,
     wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
     wire_exchange::WireExchange,
+    wire_lease::{LEASE, WireAsk, WireGrant},
 };
 use jsonrpsee::{
     RpcModule,
@@ -42,6 +43,9 @@
     module
         .register_method(HEARTBEAT, |params, node, _| answer_heartbeat(&params, node))
         .expect("each method is registered once");
+    module
+        .register_method(LEASE, |params, node, _| answer_lease(&params, node))
+        .expect("each method is registered once");
     module
         .register_method(SETTINGS, |params, node, _| answer_settings(&params, node))
         .expect("each method is registered once");
@@ -81,6 +85,19 @@
     }
 }
 
+fn answer_lease(params: &Params<'_>, node: &EntryNode) -> Result<WireGrant, ErrorObjectOwned> {
+    let ask: WireAsk = params.one()?;
+    match node.answer_peer(PeerMessage::Lease(ask.into())) {
+        Ok(PeerReply::Lease(grant)) => {
+            let reply = WireGrant::from(grant);
+            note(node, ControlPart::Other, params, &reply);
+            Ok(reply)
+        }
+        Ok(other) => Err(refuse(&format!("no lease: {other:?}"))),
+        Err(rejection) => Err(refuse(&rejection.to_string())),
+    }
+}
+
 fn answer_settings(params: &Params<'_>, node: &EntryNode) -> Result<WireBatch, ErrorObjectOwned> {
     let query: WireQuery = params.one()?;
     let query = SettingsQuery::try_from(query).map_err(|e| refuse(&e))?;
--- a/crates/steer/src/flows/attempt.rs
+++ b/crates/steer/src/flows/attempt.rs
@@ -59,6 +59,11 @@
         Refusal::from(kind)
     }
 
+    /// Tells whether the request has no body.
+    pub fn is_bodyless(&self) -> bool {
+        http_body::Body::is_end_stream(self.state.request.body())
+    }
+
     /// Gives the request back, to be handed to a peer.
     pub fn into_request(self) -> Request<Body> {
         self.state.request
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,6 +1,8 @@
 //! The life of an entry VM.
 
-use super::{tell_all, watch_settings, watch_vms};
+use super::{
+    poll_targets, renew_room, renew_shares, tell_all, watch_roster, watch_settings, watch_vms,
+};
 use crate::{EntryNode, Joining, Stopped, Vm};
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -25,6 +27,14 @@
     tasks.spawn(async move { watch_settings(&watcher).await });
     let watcher = Arc::clone(&node);
     tasks.spawn(async move { watch_vms(&watcher).await });
+    let renewer = Arc::clone(&node);
+    tasks.spawn(async move { renew_room(&renewer).await });
+    let renewer = Arc::clone(&node);
+    tasks.spawn(async move { renew_shares(&renewer).await });
+    let watcher = Arc::clone(&node);
+    tasks.spawn(async move { watch_roster(&watcher).await });
+    let poller = Arc::clone(&node);
+    tasks.spawn(async move { poll_targets(&poller).await });
 
     wait_for_settings(&node).await;
     let vm = vm.serve();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,20 +15,27 @@
 //! assert!(choose_owner(&PoolKey::new("briefs", "lis-a"), &vms).is_some());
 //! ```
 
+mod admission;
 mod choice;
 mod errors;
 mod explain;
 mod flows;
+mod lease;
+mod link;
 mod lookup;
 mod membership;
 mod names;
 mod node;
 mod pool;
 mod ports;
+mod retry;
 mod routing;
 mod settings;
+mod shares;
+mod shift;
 
 pub use self::{
-    choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*, node::*,
-    pool::*, ports::*, routing::*, settings::*,
+    admission::*, choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*,
+    membership::*, names::*, node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
+    shares::*, shift::*,
 };
