--- a/crates/steer/src/pool/pool_state.rs
+++ b/crates/steer/src/pool/pool_state.rs
@@ -295,6 +295,7 @@
             answered: false,
             charged: Duration::ZERO,
             class,
+            ended: false,
             id: self.take_id(),
             member: self.members.flow_of(&ticket.member).0,
             since: now,
