Claim idempotency keys before the first byte is sent

Cause: a request that may not be repeated was sent without a record, so that a repeat could run it twice; refusals spoke of one sending only. Change: an attempt is sent only with leave, which a claimed key gives. The claim is a conditional create, settled by reading back, confirmed after a pause, released where nothing was sent. Outcomes are recorded and read back. Refusals that say "not run" are checked against the record. Requests that end targets are counted over the fleet. The table of answers: poisoned requests now say "unknown", since the runs that ended targets may have had effects; "not run" was untrue.

--- a/crates/adapters/src/callers/caller_front.rs
+++ b/crates/adapters/src/callers/caller_front.rs
@@ -3,13 +3,13 @@
 use super::to_response;
 use http::{
     HeaderValue, Request, Response, StatusCode,
-    header::{CACHE_CONTROL, CONTENT_TYPE, ETAG, IF_NONE_MATCH},
+    header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE, ETAG, IF_NONE_MATCH},
 };
 use serde_json::json;
 use std::{net::SocketAddr, sync::Arc};
 use steer::{
-    Body, ClientBlock, EntryNode, ErrorKind, HOP_HEADER, Origin, Refusal, empty_body, full_body,
-    serve_request,
+    Body, ClientBlock, EntryNode, ErrorKind, HOP_HEADER, Origin, REQUEST_ID, Refusal, empty_body,
+    full_body, serve_request,
 };
 
 /// Path of look-ups, with an optional query `block=CIDR`.
@@ -39,10 +39,19 @@
 }
 
 async fn respond(node: &EntryNode, request: Request<Body>, origin: Origin) -> Response<Body> {
-    match serve_request(node, request, origin).await {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut response = match serve_request(node, request, origin).await {
         Ok(response) => response,
         Err(refusal) => to_response(&refusal),
+    };
+    let headers = response.headers_mut();
+    if let Some(id) = id {
+        headers.insert(REQUEST_ID, id);
     }
+    if !node.state().accepts_work() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 fn answer_lookup(node: &EntryNode, request: &Request<Body>, caller: SocketAddr) -> Response<Body> {
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -1,6 +1,8 @@
 //! The port towards other entry VMs.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::wire::{
+    HEARTBEAT, SETTINGS, SUSPECTS, WireBatch, WireHeartbeat, WireQuery, WireSuspects,
+};
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response};
@@ -106,6 +108,12 @@
                 let batch = SettingsBatch::try_from(wire).map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Settings(batch))
             }
+            PeerMessage::Suspects(suspects) => {
+                let params = rpc_params![WireSuspects::from(suspects.as_slice())];
+                let wire: WireSuspects = self.request(peer, SUSPECTS, params).await?;
+                let known = wire.try_into().map_err(PeerError::Invalid)?;
+                Ok(PeerReply::Suspects(known))
+            }
         }
     }
 
--- a/crates/adapters/src/peers/rpc_server.rs
+++ b/crates/adapters/src/peers/rpc_server.rs
@@ -1,6 +1,8 @@
 //! Answers peers' messages.
 
-use super::wire::{HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery};
+use super::wire::{
+    HEARTBEAT, SETTINGS, SUSPECTS, WireBatch, WireHeartbeat, WireQuery, WireSuspects,
+};
 use jsonrpsee::{
     RpcModule,
     server::{Server, ServerConfig, ServerHandle},
@@ -38,6 +40,9 @@
         .register_method(SETTINGS, |params, node, _| answer_settings(&params, node))
         .expect("each method is registered once");
     module
+        .register_method(SUSPECTS, |params, node, _| answer_suspects(&params, node))
+        .expect("each method is registered once");
+    module
 }
 
 fn answer_heartbeat(
@@ -60,6 +65,18 @@
     }
 }
 
+fn answer_suspects(
+    params: &Params<'_>,
+    node: &EntryNode,
+) -> Result<WireSuspects, ErrorObjectOwned> {
+    let wire: WireSuspects = params.one()?;
+    let suspects = wire.try_into().map_err(|e: String| refuse(&e))?;
+    match node.answer_peer(PeerMessage::Suspects(suspects)) {
+        Some(PeerReply::Suspects(known)) => Ok(WireSuspects::from(known.as_slice())),
+        _ => Err(refuse("no suspects")),
+    }
+}
+
 fn refuse(reason: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(REFUSED, reason.to_owned(), None::<()>)
 }
--- a/crates/adapters/src/peers/wire.rs
+++ b/crates/adapters/src/peers/wire.rs
@@ -1,10 +1,10 @@
 //! Peer messages as they are encoded; names are short because they are sent often.
 
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use steer::{
-    EntryVm, Heartbeat, PoolKey, PoolRoom, SettingsBatch, SettingsDocument, SettingsPath,
-    SettingsQuery, VmAddresses, VmState,
+    EntryVm, Fingerprint, Heartbeat, PoolKey, PoolRoom, SettingsBatch, SettingsDocument,
+    SettingsPath, SettingsQuery, Suspect, VmAddresses, VmState,
 };
 
 /// Method that exchanges heartbeats.
@@ -107,6 +107,36 @@
     }
 }
 
+/// Method that tells which requests ended targets.
+pub(super) const SUSPECTS: &str = "suspects";
+
+/// Suspects as fingerprint, targets and age in milliseconds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireSuspects(Vec<(String, Vec<String>, u64)>);
+
+impl From<&[Suspect]> for WireSuspects {
+    fn from(suspects: &[Suspect]) -> Self {
+        let rows = suspects.iter().map(|suspect| {
+            let targets = suspect.targets.iter().map(ToString::to_string).collect();
+            (suspect.print.to_string(), targets, suspect.age.as_millis() as u64)
+        });
+        Self(rows.collect())
+    }
+}
+
+impl TryFrom<WireSuspects> for Vec<Suspect> {
+    type Error = WireError;
+
+    fn try_from(wire: WireSuspects) -> Result<Self, WireError> {
+        let rows = wire.0.into_iter().map(|(print, targets, age)| {
+            let print = Fingerprint::parse(&print).ok_or_else(|| format!("no print: {print}"))?;
+            let targets = targets.into_iter().map(|name| name.as_str().into()).collect();
+            Ok(Suspect { age: Duration::from_millis(age), print, targets })
+        });
+        rows.collect()
+    }
+}
+
 /// Versions by path.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireQuery(BTreeMap<String, u64>);
--- a/crates/ragwortswitch/src/commands/run_entry_vm.rs
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -6,11 +6,21 @@
     StatsdMeter, answer_caller, answer_hand_off, answer_operator, open_log, serve_peers,
 };
 use slog::{Level, info};
-use std::{error::Error, path::Path, str::FromStr, sync::Arc, time::SystemTime};
+use std::{
+    error::Error,
+    path::Path,
+    str::FromStr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 use steer::{
-    EntryNode, EntryPorts, Meter, NoMeter, NoTracer, Peers, SystemClock, Tracer, Vm, run_entry,
+    EntryNode, EntryPorts, Meter, NoMeter, NoTracer, Peers, StopRules, SystemClock, Tracer, Vm,
+    run_entry,
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc::{self, Receiver},
 };
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Puts an adapter around the port towards peers.
 pub type WrapPeers = fn(Arc<dyn Peers>) -> Arc<dyn Peers>;
@@ -68,21 +78,30 @@
     tokio::spawn(operators.serve(move |r, _| answer_operator(Arc::clone(&n), r)));
     info!(log, "vm: listening"; "callers" => %settings.callers, "peers" => %settings.peers);
 
-    run_entry(node, vm, stop_signal()?).await;
+    let rules = settings.stop_limit_s.map(Duration::from_secs);
+    let rules = rules.map_or_else(StopRules::default, |limit| StopRules::default().limit(limit));
+    run_entry(node, vm, stop_signals()?, rules).await;
     if let Some(tracer) = tracer {
         tracer.close()?;
     }
     Ok(())
 }
 
-/// Ends when the process is asked to stop.
-fn stop_signal() -> Result<impl Future<Output = ()>, std::io::Error> {
+/// Tells each time that the process is asked to stop.
+fn stop_signals() -> Result<Receiver<()>, std::io::Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+    let (tell, stop) = mpsc::channel(2);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            if tell.send(()).await.is_err() {
+                return;
+            }
         }
-    })
+    });
+    Ok(stop)
 }
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -21,6 +21,9 @@
     pub(crate) peers: SocketAddr,
     pub(crate) platform: SocketAddr,
     pub(crate) region: RegionName,
+    /// Longest time for work under way after the first signal to stop, in seconds.
+    #[serde(default)]
+    pub(crate) stop_limit_s: Option<u64>,
     #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     pub(crate) zone: AvailabilityZoneName,
--- a/crates/steer/src/errors/error_kind.rs
+++ b/crates/steer/src/errors/error_kind.rs
@@ -12,8 +12,14 @@
 /// ```
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ErrorKind {
+    /// a request with this idempotency key ran before, and its answer is no longer at hand
+    AlreadyRan,
+    /// the answer belongs to another request
+    AnswerCrossed,
     /// the answer broke off before its end
     AnswerCut,
+    /// the request body broke off or passed its limit after a part of it had been sent
+    BodyCut,
     /// the request body is larger than its class allows
     BodyTooLarge,
     /// the caller sent its request too slowly
@@ -22,10 +28,14 @@
     DeadlineTooShort,
     /// the deadline passed before an answer came
     DeadlinePassed,
+    /// the idempotency key is too old, or from the future
+    KeyExpired,
     /// the idempotency key was used with another request
     KeyReused,
     /// this request needs an Idempotency-Key header
     KeyMissing,
+    /// this request was not run, and what became of an earlier one with its key can't be read
+    KeyUnread,
     /// a request with this idempotency key is under way or its end is not known
     KeyUnsettled,
     /// the request ended several targets and is refused for a while
@@ -48,14 +58,19 @@
 
 impl ErrorKind {
     /// Every kind, in alphabetical order.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 21] = [
+        Self::AlreadyRan,
+        Self::AnswerCrossed,
         Self::AnswerCut,
+        Self::BodyCut,
         Self::BodyTooLarge,
         Self::CallerSlow,
         Self::DeadlineTooShort,
         Self::DeadlinePassed,
+        Self::KeyExpired,
         Self::KeyReused,
         Self::KeyMissing,
+        Self::KeyUnread,
         Self::KeyUnsettled,
         Self::Poisoned,
         Self::NoRoom,
@@ -75,15 +90,20 @@
     pub fn answer(self) -> Answer {
         use {Outcome::*, StatusCode as Code};
         match self {
+            Self::AlreadyRan => Answer::new(Code::CONFLICT, Ran),
+            Self::AnswerCrossed => Answer::new(Code::BAD_GATEWAY, Unknown),
             Self::AnswerCut => Answer::new(Code::BAD_GATEWAY, Unknown),
+            Self::BodyCut => Answer::new(Code::BAD_REQUEST, Unknown),
             Self::BodyTooLarge => Answer::new(Code::PAYLOAD_TOO_LARGE, NotRun),
             Self::CallerSlow => Answer::new(Code::REQUEST_TIMEOUT, Unknown),
             Self::DeadlineTooShort => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun),
             Self::DeadlinePassed => Answer::new(Code::GATEWAY_TIMEOUT, Unknown),
+            Self::KeyExpired => Answer::new(Code::CONFLICT, Unknown),
             Self::KeyReused => Answer::new(Code::UNPROCESSABLE_ENTITY, NotRun),
             Self::KeyMissing => Answer::new(Code::BAD_REQUEST, NotRun),
+            Self::KeyUnread => Answer::new(Code::SERVICE_UNAVAILABLE, Unknown).retry_after(2),
             Self::KeyUnsettled => Answer::new(Code::CONFLICT, Unknown),
-            Self::Poisoned => Answer::new(Code::UNPROCESSABLE_ENTITY, NotRun),
+            Self::Poisoned => Answer::new(Code::UNPROCESSABLE_ENTITY, Unknown),
             Self::NoRoom => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(1),
             Self::NoService => Answer::new(Code::NOT_FOUND, NotRun),
             Self::PlatformDown => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(2),
--- a/crates/steer/src/flows/attempt.rs
+++ b/crates/steer/src/flows/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to run a request, as a typestate.
 
-use crate::{Body, ErrorKind, Refusal, SendError, Targets};
+use super::REQUEST_ID;
+use crate::{Body, ErrorKind, Peers, Refusal, SendError, SendPass, Targets};
 use http::{Request, Response};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::timeout;
@@ -11,6 +12,12 @@
     request: Request<Body>,
 }
 
+/// No byte has left, and the request has leave to be sent.
+#[derive(Debug)]
+pub struct Cleared {
+    request: Request<Body>,
+}
+
 /// The request may have run.
 #[derive(Debug)]
 pub struct Sent;
@@ -32,11 +39,28 @@
 
 /// One attempt to run a request. Only an unsent attempt can be refused as "not run":
 ///
-/// ```compile_fail
+/// ```compile_fail,E0599
 /// fn refuse(attempt: steer::Attempt<steer::Sent>) -> steer::Refusal {
 ///     attempt.refuse_not_run(steer::ErrorKind::NoRoom)
 /// }
 /// ```
+///
+/// A sent attempt gives no request back, so it can't be made again:
+///
+/// ```compile_fail,E0599
+/// fn again(attempt: steer::Attempt<steer::Sent>) -> http::Request<steer::Body> {
+///     attempt.into_request()
+/// }
+/// ```
+///
+/// An attempt without leave, such as a claimed idempotency key, can't be sent:
+///
+/// ```compile_fail,E0599
+/// async fn send(attempt: steer::Attempt<steer::Unsent>, targets: &dyn steer::Targets) {
+///     let wait = std::time::Duration::from_secs(1);
+///     let _ = attempt.send(targets, "127.0.0.1:1".parse().unwrap(), wait).await;
+/// }
+/// ```
 #[derive(Debug)]
 pub struct Attempt<S> {
     state: S,
@@ -64,6 +88,41 @@
         self.state.request
     }
 
+    /// Takes leave to send the request to a target.
+    ///
+    /// ```
+    /// use steer::{Attempt, RepeatRule, SendPass, empty_body};
+    /// let pass = SendPass::repeatable(RepeatRule::Idempotent).unwrap();
+    /// let attempt = Attempt::new(http::Request::new(empty_body())).clear(pass);
+    /// assert!(format!("{attempt:?}").contains("Cleared"));
+    /// ```
+    pub fn clear(self, _pass: SendPass) -> Attempt<Cleared> {
+        Attempt { state: Cleared { request: self.state.request } }
+    }
+
+    /// Hands the request to a peer and waits for the head of its answer. The peer's own refusal
+    /// is an answer, which says by itself whether the request ran.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` gives the attempt back; after `Sent` the request may have run.
+    pub async fn hand_off(
+        self,
+        peers: &dyn Peers,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> Result<Attempt<Answered>, AttemptError> {
+        let id = self.state.request.headers().get(REQUEST_ID).cloned();
+        let sending = peers.hand_off(address, self.state.request);
+        let answered = wait_for_head(sending, wait).await?;
+        if answered.state.response.headers().get(REQUEST_ID) != id.as_ref() {
+            return Err(Attempt::lost(ErrorKind::AnswerCrossed));
+        }
+        Ok(answered)
+    }
+}
+
+impl Attempt<Cleared> {
     /// Sends the request to a target and waits for the head of the answer.
     ///
     /// # Errors
@@ -75,14 +134,27 @@
         address: SocketAddr,
         wait: Duration,
     ) -> Result<Attempt<Answered>, AttemptError> {
-        match timeout(wait, targets.send(address, self.state.request)).await {
-            Err(_) => Err(Attempt::lost(ErrorKind::DeadlinePassed)),
-            Ok(Err(SendError::NotSent { reason, request })) => {
-                Err(AttemptError::NotSent(Self::new(*request), reason))
-            }
-            Ok(Err(SendError::Sent { .. })) => Err(Attempt::lost(ErrorKind::TargetFailed)),
-            Ok(Ok(response)) => Ok(Attempt { state: Answered { response } }),
+        let id = self.state.request.headers().get(REQUEST_ID).cloned();
+        let answered = wait_for_head(targets.send(address, self.state.request), wait).await?;
+        let theirs = answered.state.response.headers().get(REQUEST_ID);
+        if theirs.is_some() && theirs != id.as_ref() {
+            return Err(Attempt::lost(ErrorKind::AnswerCrossed));
+        }
+        Ok(answered)
+    }
+}
+
+async fn wait_for_head(
+    sending: impl Future<Output = Result<Response<Body>, SendError>>,
+    wait: Duration,
+) -> Result<Attempt<Answered>, AttemptError> {
+    match timeout(wait, sending).await {
+        Err(_) => Err(Attempt::lost(ErrorKind::DeadlinePassed)),
+        Ok(Err(SendError::NotSent { reason, request })) => {
+            Err(AttemptError::NotSent(Attempt::new(*request), reason))
         }
+        Ok(Err(SendError::Sent { .. })) => Err(Attempt::lost(ErrorKind::TargetFailed)),
+        Ok(Ok(response)) => Ok(Attempt { state: Answered { response } }),
     }
 }
 
--- a/crates/steer/src/flows/call.rs
+++ b/crates/steer/src/flows/call.rs
@@ -1,8 +1,11 @@
 //! A request with all that decisions need to know about it.
 
 use super::Refusal;
-use crate::{ClassName, ClassSettings, ErrorKind, MemberName, Service, Snapshot, Ticket, VmName};
-use http::{HeaderMap, Request};
+use crate::{
+    BodyFault, ClassName, ClassSettings, ErrorKind, Fingerprint, MemberName, OnceKey, RepeatRule,
+    Service, Snapshot, Ticket, Unclaimed, VmName,
+};
+use http::{HeaderMap, Request, header::CONTENT_LENGTH};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -22,10 +25,16 @@
     pub class: ClassName,
     /// When the caller's wait is over.
     pub deadline: Instant,
+    /// Whether the request's body broke off on its way through this VM.
+    pub fault: BodyFault,
+    /// The caller says that it sends this idempotency key for the first time.
+    pub first: bool,
     /// The caller's idempotency key.
     pub key: Option<Arc<str>>,
     /// Member that the request counts for.
     pub member: MemberName,
+    /// Digest of the request, set once its body is at hand.
+    pub print: Fingerprint,
     /// Settings of the class.
     pub rule: ClassSettings,
     /// The service.
@@ -37,6 +46,8 @@
     pub const MEMBER_HEADER: &'static str = "x-member";
     /// Header with the time that the caller still waits, in milliseconds.
     pub const DEADLINE_HEADER: &'static str = "x-deadline-ms";
+    /// Header with which a caller says that it sends a key for the first time.
+    pub const FIRST_HEADER: &'static str = "idempotency-first";
     /// Header with the key that makes a repeated request the same.
     pub const KEY_HEADER: &'static str = "idempotency-key";
 
@@ -56,13 +67,18 @@
         })?;
         let headers = request.headers();
         let key = header(headers, Self::KEY_HEADER).map(Arc::from);
+        let member = header(headers, Self::MEMBER_HEADER).unwrap_or("anonymous");
+        let length = headers.get(CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
         let asked = header(headers, Self::DEADLINE_HEADER).and_then(|v| v.parse().ok());
         let wait = asked.map_or(rule.deadline_ms, |ms: u64| ms.min(rule.deadline_ms));
         Ok(Self {
             class: class.clone(),
             deadline: Instant::now() + Duration::from_millis(wait),
+            fault: BodyFault::default(),
+            first: header(headers, Self::FIRST_HEADER) == Some("true"),
             key,
-            member: header(headers, Self::MEMBER_HEADER).unwrap_or("anonymous").into(),
+            print: Fingerprint::new(service.name.as_str(), member, request, length),
+            member: member.into(),
             rule: rule.clone(),
             service: Arc::clone(service),
         })
@@ -78,6 +94,15 @@
         }
     }
 
+    /// The key of a request that runs at most once; `None` for one that may be repeated.
+    pub fn once_key(&self) -> Option<OnceKey<Unclaimed>> {
+        if self.rule.repeat == RepeatRule::Idempotent {
+            return None;
+        }
+        let key = self.key.as_deref()?;
+        Some(OnceKey::new(self.service.name.as_str(), self.member.as_str(), key, self.print))
+    }
+
     /// Time that the caller still waits.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -2,21 +2,27 @@
 
 mod attempt;
 mod call;
+mod known_answer;
+mod recorded_body;
 mod refusal;
 mod route_request;
 mod run_entry;
 mod run_in_pool;
+mod send_guard;
 mod serve_request;
+mod share_suspects;
 mod talk_to_peer;
 mod watch_settings;
 mod watch_vms;
 
 pub use self::{
-    attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
+    attempt::{Answered, Attempt, AttemptError, Cleared, Sent, Unsent},
     call::{Call, Origin},
+    known_answer::REPLAYED_HEADER,
     refusal::Refusal,
-    run_entry::run_entry,
-    serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
+    run_entry::{StopRules, run_entry},
+    serve_request::{HOP_HEADER, OUTCOME_HEADER, REQUEST_ID, TRACE_HEADER, serve_request},
+    share_suspects::share_suspects,
     talk_to_peer::talk_to_peer,
     watch_settings::watch_settings,
     watch_vms::watch_vms,
--- /dev/null
+++ b/crates/steer/src/flows/recorded_body.rs
@@ -0,0 +1,110 @@
+//! An answer's body whose request is recorded as run once it has ended.
+
+use crate::{Body, BodyError, Claimed, KeyState, OnceKey, Platform, RecordedAnswer};
+use bytes::Bytes;
+use http::{Response, header::CONTENT_TYPE};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use std::{
+    mem,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+use tokio_util::task::TaskTracker;
+
+/// Where the outcome of a key goes.
+#[derive(Debug)]
+pub(super) struct Recorder {
+    pub(super) key: OnceKey<Claimed>,
+    pub(super) platform: Arc<dyn Platform>,
+    pub(super) work: TaskTracker,
+}
+
+impl Recorder {
+    /// Writes the outcome in the background; a graceful stop waits for it.
+    pub(super) fn finish(self, state: KeyState) {
+        let Self { key, platform, work } = self;
+        work.spawn(async move { key.finish(&*platform, state).await });
+    }
+}
+
+#[derive(Debug)]
+struct RecordedBody {
+    answer: RecordedAnswer,
+    bytes: Vec<u8>,
+    inner: Body,
+    recorder: Option<Recorder>,
+    whole: bool,
+}
+
+/// Passes an answer on and keeps a small one for callers that ask again.
+pub(super) fn record_answer(response: Response<Body>, recorder: Recorder) -> Response<Body> {
+    let kind = response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let answer = RecordedAnswer {
+        body: None,
+        kind: kind.map(str::to_owned),
+        status: response.status().as_u16(),
+    };
+    response.map(|inner| {
+        let recorder = Some(recorder);
+        RecordedBody { answer, bytes: Vec::new(), inner, recorder, whole: false }.boxed_unsync()
+    })
+}
+
+impl RecordedBody {
+    fn record(&mut self) {
+        let Some(recorder) = self.recorder.take() else { return };
+        let small = self.whole && self.bytes.len() <= RecordedAnswer::MAX_BODY;
+        let text = small.then(|| String::from_utf8(mem::take(&mut self.bytes)).ok()).flatten();
+        let answer = RecordedAnswer { body: text, ..mem::take(&mut self.answer) };
+        recorder.finish(KeyState::Ran(answer));
+    }
+
+    fn keep(&mut self, data: &Bytes) {
+        if self.bytes.len() <= RecordedAnswer::MAX_BODY {
+            let room = RecordedAnswer::MAX_BODY + 1 - self.bytes.len();
+            self.bytes.extend_from_slice(&data[..data.len().min(room)]);
+        }
+    }
+}
+
+impl http_body::Body for RecordedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        match &frame {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.keep(data);
+                }
+            }
+            Some(Err(_)) => self.record(),
+            None => {
+                self.whole = true;
+                self.record();
+            }
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for RecordedBody {
+    fn drop(&mut self) {
+        self.whole = http_body::Body::is_end_stream(&self.inner);
+        self.record();
+    }
+}
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,37 +1,190 @@
 //! The life of an entry VM.
 
-use super::{watch_settings, watch_vms};
-use crate::{EntryNode, Joining, Stopped, Vm};
-use slog::info;
-use std::sync::Arc;
-use tokio::task::JoinSet;
+use super::{share_suspects, watch_settings, watch_vms};
+use crate::{
+    DrainSettings, Draining, EntryNode, Joining, PeerMessage, PeerReply, Serving, Stopped, Vm,
+};
+use slog::{info, warn};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::mpsc::Receiver,
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
 
-/// Runs an entry VM until `stop` ends: joins, serves, then drains until the last answer.
+/// How an entry VM stops.
+///
+/// ```
+/// use std::time::Duration;
+/// use steer::StopRules;
+/// let rules = StopRules::default().limit(Duration::from_secs(60));
+/// assert_eq!(rules.limit.as_secs(), 60);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct StopRules {
+    /// Longest time for work under way; what is left then is cut.
+    pub limit: Duration,
+    /// Shortest time to go on for callers that cached an older look-up.
+    pub linger: Duration,
+}
+
+impl StopRules {
+    /// Sets the longest time for work under way.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let rules = steer::StopRules::default().limit(Duration::from_secs(5));
+    /// assert_eq!(rules.limit, Duration::from_secs(5));
+    /// ```
+    pub fn limit(mut self, limit: Duration) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets the shortest time to go on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// assert!(steer::StopRules::default().linger(Duration::ZERO).linger.is_zero());
+    /// ```
+    pub fn linger(mut self, linger: Duration) -> Self {
+        self.linger = linger;
+        self
+    }
+}
+
+impl Default for StopRules {
+    fn default() -> Self {
+        Self { limit: Duration::from_secs(3600), linger: EntryNode::LOOKUP_AGE }
+    }
+}
+
+/// Time between looks at the drains in the settings; maintenance windows open by the clock.
+const DRAIN_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for peers to hear of a new state.
+const ANNOUNCE_WAIT: Duration = Duration::from_secs(1);
+
+/// Runs an entry VM until a first message on `stop`: joins, serves, then drains until the last
+/// answer. A second message, or the limit of the rules, cuts what is still under way.
+///
+/// While the settings drain the VM, it takes no work of its own and stays ready to serve again.
 pub async fn run_entry(
     node: Arc<EntryNode>,
     vm: Vm<Joining>,
-    stop: impl Future<Output = ()>,
+    mut stop: Receiver<()>,
+    rules: StopRules,
 ) -> Vm<Stopped> {
     let mut tasks = JoinSet::new();
     let watcher = Arc::clone(&node);
     tasks.spawn(async move { watch_settings(&watcher).await });
     let watcher = Arc::clone(&node);
     tasks.spawn(async move { watch_vms(&watcher).await });
+    let sharer = Arc::clone(&node);
+    tasks.spawn(async move { share_suspects(&sharer).await });
 
-    wait_for_settings(&node).await;
+    tokio::select! {
+        () = wait_for_settings(&node) => {}
+        _ = stop.recv() => {
+            info!(node.log(), "vm: stopped before it served"; "name" => %node.vm().name);
+            return vm.serve().drain().stop();
+        }
+    }
     let vm = vm.serve();
     info!(node.log(), "vm: serving"; "name" => %node.vm().name);
-
-    stop.await;
-    let vm = vm.drain();
-    info!(node.log(), "vm: draining"; "requests" => node.work().len());
-    node.work().close();
-    node.work().wait().await;
+    let vm = serve_until_stopped(&node, vm, &mut stop).await;
+    finish_work(&node, &mut stop, rules).await;
     let vm = vm.stop();
+    announce(&node).await;
     info!(node.log(), "vm: stopped"; "name" => %node.vm().name);
     vm
 }
 
+/// Serves, with pauses while the settings drain this VM, until it is asked to stop.
+async fn serve_until_stopped(
+    node: &Arc<EntryNode>,
+    mut vm: Vm<Serving>,
+    stop: &mut Receiver<()>,
+) -> Vm<Draining> {
+    loop {
+        tokio::select! {
+            () = wait_for_drain(node, true) => {}
+            _ = stop.recv() => {
+                let vm = vm.drain();
+                announce(node).await;
+                return vm;
+            }
+        }
+        let paused = vm.pause();
+        announce(node).await;
+        info!(node.log(), "vm: drained by the settings"; "requests" => node.work().len());
+        tokio::select! {
+            () = wait_for_drain(node, false) => {}
+            _ = stop.recv() => return paused.drain(),
+        }
+        vm = paused.serve();
+        announce(node).await;
+        info!(node.log(), "vm: serving again");
+    }
+}
+
+/// Waits until the settings drain this VM, or no longer do.
+async fn wait_for_drain(node: &EntryNode, wanted: bool) {
+    let mut snapshot = node.watch_snapshot();
+    while is_drained(node) != wanted {
+        let changed = timeout(DRAIN_PERIOD, snapshot.changed()).await;
+        debug_assert!(!matches!(changed, Ok(Err(_))), "the node keeps the sender");
+    }
+}
+
+fn is_drained(node: &EntryNode) -> bool {
+    let (now, own) = (node.ports().clock.now(), &node.vm().name);
+    node.snapshot().drains(now).any(|d| matches!(d, DrainSettings::EntryVm(name) if name == own))
+}
+
+/// Tells all peers this VM's state at once, rather than with the next heartbeat.
+async fn announce(node: &Arc<EntryNode>) {
+    let mut calls = JoinSet::new();
+    for peer in node.peers() {
+        let node = Arc::clone(node);
+        calls.spawn(async move {
+            let beat = PeerMessage::Heartbeat(node.heartbeat());
+            let reply = node.ports().peers.call(peer.vm.addresses.peers, beat).await;
+            if let Ok(PeerReply::Heartbeat(theirs)) = reply {
+                node.hear(theirs);
+            }
+        });
+    }
+    let told = timeout(ANNOUNCE_WAIT, calls.join_all()).await;
+    if told.is_err() {
+        warn!(node.log(), "vm: some peers did not hear of the new state in time");
+    }
+}
+
+/// Waits for the last answer, a second message to stop, or the limit.
+async fn finish_work(node: &EntryNode, stop: &mut Receiver<()>, rules: StopRules) {
+    let start = Instant::now();
+    info!(node.log(), "vm: draining"; "requests" => node.work().len());
+    let finished = async {
+        sleep(rules.linger).await;
+        node.work().close();
+        node.work().wait().await;
+    };
+    let reason = tokio::select! {
+        () = finished => None,
+        _ = stop.recv() => Some("second signal"),
+        () = sleep(rules.limit) => Some("limit reached"),
+    };
+    let meter = &node.ports().meter;
+    meter.time("drain", start.elapsed());
+    let Some(reason) = reason else { return };
+    let cut = node.under_way().counts();
+    meter.count("drain.cut", cut.values().sum::<usize>() as u64);
+    for (class, requests) in &cut {
+        warn!(node.log(), "vm: requests cut by the stop";
+            "class" => %class, "requests" => requests, "reason" => reason);
+    }
+}
+
 /// Waits until the fleet's settings are in force.
 async fn wait_for_settings(node: &EntryNode) {
     let mut snapshot = node.watch_snapshot();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -22,12 +22,14 @@
 mod membership;
 mod names;
 mod node;
+mod once;
+mod poison;
 mod pool;
 mod ports;
 mod routing;
 mod settings;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, pool::*, ports::*,
-    routing::*, settings::*,
+    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, once::*,
+    poison::*, pool::*, ports::*, routing::*, settings::*,
 };
--- a/crates/steer/src/membership/mod.rs
+++ b/crates/steer/src/membership/mod.rs
@@ -8,6 +8,6 @@
 pub use self::{
     entry_vm::{EntryVm, VmAddresses},
     membership_table::{MembershipTable, PeerRecord},
-    vm::{Draining, Joining, Serving, Stopped, Vm},
+    vm::{Draining, Joining, Paused, Serving, Stopped, Vm},
     vm_state::VmState,
 };
--- a/crates/steer/src/membership/vm.rs
+++ b/crates/steer/src/membership/vm.rs
@@ -9,6 +9,9 @@
 /// Takes work.
 #[derive(Debug)]
 pub struct Serving;
+/// Takes no work while the settings drain it, and may serve again.
+#[derive(Debug)]
+pub struct Paused;
 /// Finishes its work.
 #[derive(Debug)]
 pub struct Draining;
@@ -16,7 +19,8 @@
 #[derive(Debug)]
 pub struct Stopped;
 
-/// This entry VM in one state of its life; the steps go one way only.
+/// This entry VM in one state of its life. The steps go one way, but for a pause: a VM that the
+/// settings drain serves again once the drain is taken back. Peers see a pause as a drain.
 ///
 /// ```
 /// use steer::{Vm, VmState};
@@ -28,6 +32,16 @@
 /// assert_eq!(*state.borrow(), VmState::Stopped);
 /// ```
 ///
+/// A pause ends by serving again or by draining:
+///
+/// ```
+/// let (vm, state) = steer::Vm::join();
+/// let vm = vm.serve().pause();
+/// assert_eq!(*state.borrow(), steer::VmState::Draining);
+/// vm.serve();
+/// assert_eq!(*state.borrow(), steer::VmState::Serving);
+/// ```
+///
 /// A VM that drains can't serve again:
 ///
 /// ```compile_fail
@@ -60,6 +74,12 @@
 }
 
 impl Vm<Serving> {
+    /// Stops taking new work until it serves again.
+    pub fn pause(self) -> Vm<Paused> {
+        self.announce.send_replace(VmState::Draining);
+        Vm { announce: self.announce, _state: Paused }
+    }
+
     /// Stops taking new work.
     pub fn drain(self) -> Vm<Draining> {
         self.announce.send_replace(VmState::Draining);
@@ -67,6 +87,20 @@
     }
 }
 
+impl Vm<Paused> {
+    /// Takes work again.
+    pub fn serve(self) -> Vm<Serving> {
+        self.announce.send_replace(VmState::Serving);
+        Vm { announce: self.announce, _state: Serving }
+    }
+
+    /// Ends the pause by draining for good.
+    pub fn drain(self) -> Vm<Draining> {
+        self.announce.send_replace(VmState::Draining);
+        Vm { announce: self.announce, _state: Draining }
+    }
+}
+
 impl Vm<Draining> {
     /// Ends the life cycle after the last request.
     pub fn stop(self) -> Vm<Stopped> {
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -3,9 +3,10 @@
 use super::EntryPorts;
 use crate::{
     AvailabilityZoneName, BlockTable, ClientBlock, EntryVm, Heartbeat, LookupAnswer,
-    LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey,
-    PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath, SettingsQuery,
-    SettingsTree, Snapshot, TargetName, TargetPool, VmName, VmState, choose_owner, order_vms,
+    LookupCandidate, LookupVm, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoisonWatch,
+    PoolKey, PutError, RegionName, Settings, SettingsBatch, SettingsDocument, SettingsPath,
+    SettingsQuery, SettingsTree, Snapshot, TargetName, TargetPool, UnderWay, VmName, VmState,
+    choose_owner, order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -31,11 +32,13 @@
     leaving: Mutex<BTreeSet<TargetName>>,
     log: Logger,
     members: Mutex<MembershipTable>,
+    poison: PoisonWatch,
     pools: Mutex<BTreeMap<PoolKey, Arc<TargetPool>>>,
     ports: EntryPorts,
     snapshot: watch::Sender<Arc<Snapshot>>,
     state: watch::Receiver<VmState>,
     tree: Mutex<SettingsTree>,
+    under_way: Arc<UnderWay>,
     vm: EntryVm,
     work: TaskTracker,
 }
@@ -60,11 +63,13 @@
             leaving: Mutex::default(),
             log,
             members: Mutex::default(),
+            poison: PoisonWatch::new(),
             pools: Mutex::default(),
             ports,
             snapshot: watch::Sender::new(Arc::default()),
             state,
             tree: Mutex::default(),
+            under_way: Arc::default(),
             vm,
             work: TaskTracker::new(),
         }
@@ -90,6 +95,21 @@
         &self.work
     }
 
+    /// The requests under way, by class.
+    pub fn under_way(&self) -> &Arc<UnderWay> {
+        &self.under_way
+    }
+
+    /// The requests that ended targets.
+    pub fn poison(&self) -> &PoisonWatch {
+        &self.poison
+    }
+
+    /// A view of this VM's life cycle that tells when it changes.
+    pub fn watch_state(&self) -> watch::Receiver<VmState> {
+        self.state.clone()
+    }
+
     /// The state of this VM's life cycle.
     pub fn state(&self) -> VmState {
         *self.state.borrow()
@@ -211,6 +231,10 @@
                 self.hear(beat).then(|| PeerReply::Heartbeat(self.heartbeat()))
             }
             PeerMessage::Settings(query) => Some(PeerReply::Settings(self.newer_settings(&query))),
+            PeerMessage::Suspects(suspects) => {
+                self.poison.hear(&suspects);
+                Some(PeerReply::Suspects(self.poison.newest()))
+            }
         }
     }
 
--- /dev/null
+++ b/crates/steer/src/once/fingerprint.rs
@@ -0,0 +1,61 @@
+//! A digest that tells one request from another.
+
+use blake3::Hasher;
+use derive_more::Display;
+use http::Request;
+
+/// A digest of what a request asks for: its service, member, method, path, key and body.
+///
+/// ```
+/// use steer::Fingerprint;
+/// let request = http::Request::get("/briefs/7").body(()).unwrap();
+/// let a = Fingerprint::new("briefs", "aurora", &request, b"");
+/// assert_eq!(a, Fingerprint::new("briefs", "aurora", &request, b""));
+/// assert_ne!(a, Fingerprint::new("briefs", "baleia", &request, b""));
+/// assert_eq!(Fingerprint::parse(&a.to_string()), Some(a));
+/// ```
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[display("{_0:032x}")]
+pub struct Fingerprint(u128);
+
+impl Fingerprint {
+    /// Header whose value is part of a request's identity.
+    const KEY_HEADER: &'static str = "idempotency-key";
+
+    /// Digests a request with its body, or with what is known of a body that streams.
+    pub fn new<B>(service: &str, member: &str, request: &Request<B>, body: &[u8]) -> Self {
+        let uri = request.uri();
+        let query = uri.query().unwrap_or_default();
+        let key = request.headers().get(Self::KEY_HEADER).map_or(&b""[..], |v| v.as_bytes());
+        Self::of_parts([
+            service.as_bytes(),
+            member.as_bytes(),
+            request.method().as_str().as_bytes(),
+            uri.path().as_bytes(),
+            query.as_bytes(),
+            key,
+            body,
+        ])
+    }
+
+    /// Digests parts with their lengths, so that no two lists of parts run together.
+    pub(super) fn of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+
+    /// Reads the digest back from its text.
+    ///
+    /// ```
+    /// assert_eq!(steer::Fingerprint::parse("no digest"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        u128::from_str_radix(text, 16).ok().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/once/mod.rs
@@ -0,0 +1,13 @@
+//! Requests that run at most once: the record of an idempotency key in the platform.
+
+mod fingerprint;
+mod key_time;
+mod once_key;
+mod once_record;
+
+pub use self::{
+    fingerprint::Fingerprint,
+    key_time::KeyTime,
+    once_key::{Claim, Claimed, Finished, KeyOwner, OnceKey, SendPass, Unclaimed, Unsettled},
+    once_record::{KeyState, OnceRecord, RecordedAnswer},
+};
--- /dev/null
+++ b/crates/steer/src/ports/bounded_body.rs
@@ -0,0 +1,146 @@
+//! Bodies that end as an error where they pass a limit.
+
+use super::{Body, BodyError};
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// Remembers that a body broke off or passed a limit, after the body itself is gone.
+///
+/// ```
+/// assert!(!steer::BodyFault::default().is_set());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct BodyFault(Arc<AtomicBool>);
+
+impl BodyFault {
+    /// Tells whether the body ended as an error.
+    ///
+    /// ```
+    /// let fault = steer::BodyFault::default();
+    /// assert!(!fault.is_set());
+    /// ```
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Limits of a body.
+///
+/// ```
+/// use std::time::Duration;
+/// use steer::BodyLimits;
+/// use tokio::time::Instant;
+/// let limits = BodyLimits::until(Instant::now()).bytes(1024).idle(Duration::from_secs(30));
+/// assert_eq!(limits.bytes, 1024);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Most bytes.
+    pub bytes: u64,
+    /// Longest time between two frames.
+    pub idle: Duration,
+    /// When the body has to be whole.
+    pub until: Instant,
+}
+
+impl BodyLimits {
+    /// Limits the time alone.
+    pub fn until(until: Instant) -> Self {
+        Self { bytes: u64::MAX, idle: Duration::MAX, until }
+    }
+
+    /// Sets the most bytes.
+    pub fn bytes(mut self, bytes: u64) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
+    /// Sets the longest time between two frames.
+    pub fn idle(mut self, idle: Duration) -> Self {
+        self.idle = idle;
+        self
+    }
+
+    fn next(&self) -> Instant {
+        Instant::now().checked_add(self.idle).map_or(self.until, |idle| idle.min(self.until))
+    }
+}
+
+#[derive(Debug)]
+struct BoundedBody {
+    fault: BodyFault,
+    inner: Body,
+    limits: BodyLimits,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl BoundedBody {
+    fn fail(&self, reason: &str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.fault.0.store(true, Ordering::Relaxed);
+        Poll::Ready(Some(Err(BodyError { reason: reason.to_owned() })))
+    }
+}
+
+impl http_body::Body for BoundedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.timer.as_mut().poll(cx).is_ready() {
+            return self.fail("too slow");
+        }
+        let frame = match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
+            None => return Poll::Ready(None),
+            Some(Err(error)) => return self.fail(&error.reason),
+            Some(Ok(frame)) => frame,
+        };
+        let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+        let Some(left) = self.limits.bytes.checked_sub(length) else {
+            return self.fail("too large");
+        };
+        self.limits.bytes = left;
+        let next = self.limits.next();
+        self.timer.as_mut().reset(next);
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Ends a body as an error where it passes a limit or breaks off, and remembers that it did.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+/// use http_body_util::BodyExt;
+/// use steer::{BodyFault, BodyLimits, bound_body, full_body};
+/// let later = tokio::time::Instant::now() + std::time::Duration::from_secs(1);
+/// let fault = BodyFault::default();
+/// let body = bound_body(full_body("four"), BodyLimits::until(later).bytes(3), fault.clone());
+/// assert!(body.collect().await.is_err());
+/// assert!(fault.is_set());
+/// # });
+/// ```
+pub fn bound_body(body: Body, limits: BodyLimits, fault: BodyFault) -> Body {
+    let timer = Box::pin(sleep_until(limits.next()));
+    BoundedBody { fault, inner: body, limits, timer }.boxed_unsync()
+}
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -1,6 +1,7 @@
 //! The ports: what the decisions and flows need from outside, as traits over typed messages.
 
 mod body;
+mod bounded_body;
 mod clock;
 mod meter;
 mod peers;
@@ -12,6 +13,7 @@
 
 pub use self::{
     body::{Body, BodyError, empty_body, full_body, hold_until_end},
+    bounded_body::{BodyFault, BodyLimits, bound_body},
     clock::{Clock, SystemClock},
     meter::{Meter, NoMeter},
     peers::{
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -1,7 +1,7 @@
 //! The port towards other entry VMs.
 
 use super::{Body, SendError};
-use crate::{EntryVm, PoolKey, SettingsPath, VmState};
+use crate::{EntryVm, PoolKey, SettingsPath, Suspect, VmState};
 use async_trait::async_trait;
 use displaydoc::Display;
 use http::{Request, Response};
@@ -63,6 +63,8 @@
     Heartbeat(Heartbeat),
     /// Asks for newer settings.
     Settings(SettingsQuery),
+    /// Tells which requests ended targets; answered by what the receiver knows.
+    Suspects(Vec<Suspect>),
 }
 
 /// A peer's reply.
@@ -72,6 +74,8 @@
     Heartbeat(Heartbeat),
     /// Settings that the asker lacks.
     Settings(SettingsBatch),
+    /// Requests that ended targets.
+    Suspects(Vec<Suspect>),
 }
 
 /// Why a message to a peer got no reply.
