--- a/crates/ragwortswitch/src/commands/run_entry_vm.rs
+++ b/crates/ragwortswitch/src/commands/run_entry_vm.rs
@@ -78,7 +78,7 @@
     tokio::spawn(operators.serve(move |r, _| answer_operator(Arc::clone(&n), r)));
     info!(log, "vm: listening"; "callers" => %settings.callers, "peers" => %settings.peers);
 
-    let rules = settings.stop_limit_s.map(Duration::from_secs);
+    let rules = settings.drain_s.map(Duration::from_secs);
     let rules = rules.map_or_else(StopRules::default, |limit| StopRules::default().limit(limit));
     run_entry(node, vm, stop_signals()?, rules).await;
     if let Some(tracer) = tracer {
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -23,7 +23,7 @@
     pub(crate) region: RegionName,
     /// Longest time for work under way after the first signal to stop, in seconds.
     #[serde(default)]
-    pub(crate) stop_limit_s: Option<u64>,
+    pub(crate) drain_s: Option<u64>,
     #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     pub(crate) zone: AvailabilityZoneName,
--- /dev/null
+++ b/crates/steer/tests/at_most_once.rs
@@ -0,0 +1,180 @@
+//! A request with an idempotency key runs at most once, whatever fails, and refusals are true.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod support;
+
+use std::{collections::BTreeMap, fmt::Write, sync::Arc, time::Duration};
+use steer::{Expected, Outcome, Platform, PlatformError, SendError};
+use support::{Breach, FakePlatform, Faults, Told, World};
+use tokio::time::{Instant, sleep};
+
+const VMS: usize = 3;
+
+/// Rows of the table: a name, the faults, and whether an entry VM dies on the way.
+fn rows() -> Vec<(&'static str, Faults, bool)> {
+    let faults = Faults::default();
+    vec![
+        ("no faults", faults, false),
+        ("lost answers", Faults { lost: 25, ..faults }, false),
+        ("split zone", Faults { split: true, ..faults }, false),
+        ("split zone, lost answers", Faults { lost: 25, split: true, ..faults }, false),
+        ("connections reset", Faults { reset: 20, refused: 20, ..faults }, false),
+        ("pauses", Faults { paused: 30, split: true, ..faults }, false),
+        ("an entry VM dies", Faults { lost: 5, ..faults }, true),
+        ("all at once", Faults { lost: 15, paused: 10, refused: 10, reset: 10, split: true }, true),
+    ]
+}
+
+/// Histories for each row.
+fn seeds() -> u64 {
+    std::env::var("SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(400)
+}
+
+fn run<T>(history: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_time().start_paused(true).build().unwrap().block_on(history)
+}
+
+/// Two callers send the same key at two entry VMs at once and repeat it until it is settled.
+async fn repeat_key(world: Arc<World>, key: String, dies: bool) {
+    let mut callers = Vec::new();
+    for caller in 0..2 {
+        let (world, key) = (Arc::clone(&world), key.clone());
+        callers.push(tokio::spawn(async move {
+            for sending in 0..4 {
+                let vm = world.below(VMS as u64) as usize;
+                let id = format!("{key}-{caller}-{sending}");
+                if !world.is_dead(vm) && world.ask(vm, &key, &id).await == Outcome::Ran {
+                    return;
+                }
+                sleep(Duration::from_millis(world.below(8000))).await;
+            }
+        }));
+    }
+    if dies {
+        sleep(Duration::from_millis(world.below(200))).await;
+        world.dead.lock().unwrap().insert(0);
+    }
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
+#[derive(Default)]
+struct Row {
+    breaches: BTreeMap<Breach, u64>,
+    outcomes: BTreeMap<Outcome, u64>,
+    runs: u64,
+}
+
+impl Row {
+    fn add(&mut self, world: &World) {
+        let history = world.history();
+        self.runs += history.ran.len() as u64;
+        for told in &history.told {
+            *self.outcomes.entry(told.outcome).or_default() += 1;
+        }
+        for breach in history.breaches() {
+            *self.breaches.entry(breach).or_default() += 1;
+        }
+    }
+}
+
+#[test]
+fn runs_a_key_at_most_once_and_refuses_truthfully() {
+    let mut table = String::new();
+    for (name, faults, dies) in rows() {
+        let mut row = Row::default();
+        for seed in 0..seeds() {
+            run(async {
+                let world = World::new(seed, VMS, faults);
+                let _vms = world.start(VMS);
+                repeat_key(Arc::clone(&world), "pay-1".into(), dies).await;
+                sleep(Duration::from_secs(5)).await;
+                let breaches = world.history().breaches();
+                assert!(breaches.is_empty(), "{name}, seed {seed}: {:?}", world.history());
+                row.add(&world);
+            });
+        }
+        writeln!(table, "{name:<26} ran {:>4}, told {:?}", row.runs, row.outcomes).unwrap();
+    }
+    if std::env::var("SEEDS").is_err() {
+        insta::assert_snapshot!(table);
+    }
+}
+
+/// A fault that a naive version has and the flow hasn't.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mutation {
+    NoRecheck,
+    NoReadBack,
+    NotRunAfterSend,
+    RetryAfterSend,
+}
+
+/// A version of the flow with one fault, over the same fakes.
+async fn naive_ask(world: Arc<World>, vm: usize, key: &str, id: &str, mutation: Mutation) {
+    let sent = Instant::now();
+    let node = Arc::clone(&world.nodes()[vm]);
+    let platform = FakePlatform { vm, world: Arc::clone(&world) };
+    let path = format!("naive/{key}");
+    let created = platform.write(&path, id, Expected::Absent).await;
+    let read_back = || async {
+        let found = platform.read(&path).await.ok().flatten().and_then(|object| object.value);
+        found.is_some_and(|token| *token == *id)
+    };
+    let claimed = match created {
+        Ok(_) => mutation == Mutation::NoRecheck || read_back().await,
+        Err(PlatformError::Lost(_)) => mutation == Mutation::NoReadBack || read_back().await,
+        Err(_) => false,
+    };
+    let mut outcome = Outcome::Unknown;
+    if claimed {
+        let targets = &node.ports().targets;
+        let send =
+            |n| targets.send(format!("10.0.0.{n}:1").parse().unwrap(), World::request(key, id));
+        let mut answer = send(1).await;
+        if mutation == Mutation::RetryAfterSend && matches!(answer, Err(SendError::Sent { .. })) {
+            answer = send(2).await;
+        }
+        outcome = match answer {
+            Ok(_) => Outcome::Ran,
+            Err(_) if mutation == Mutation::NotRunAfterSend => Outcome::NotRun,
+            Err(_) => Outcome::Unknown,
+        };
+    }
+    let (id, key) = (id.to_owned(), key.to_owned());
+    world.history().told.push(Told { body: None, id, key, outcome, sent });
+}
+
+#[test]
+fn catches_each_mutation() {
+    let faults = Faults { lost: 20, reset: 20, split: true, ..Faults::default() };
+    let paused = Faults { paused: 30, split: true, ..Faults::default() };
+    let mutations = [
+        (Mutation::NoReadBack, faults, Breach::DoubleRun),
+        (Mutation::NoRecheck, paused, Breach::DoubleRun),
+        (Mutation::NotRunAfterSend, faults, Breach::FalseNotRun),
+        (Mutation::RetryAfterSend, faults, Breach::DoubleRun),
+    ];
+    let mut table = String::new();
+    for (mutation, faults, breach) in mutations {
+        let mut row = Row::default();
+        for seed in 0..400 {
+            run(async {
+                let world = World::new(seed, VMS, faults);
+                let _vms = world.start(VMS);
+                let ask = |vm| naive_ask(Arc::clone(&world), vm, "pay-1", ["a", "b"][vm], mutation);
+                tokio::join!(ask(0), async {
+                    sleep(Duration::from_millis(world.below(1000))).await;
+                    ask(1).await;
+                });
+                row.add(&world);
+            });
+        }
+        assert!(row.breaches.contains_key(&breach), "{mutation:?} was not caught");
+        writeln!(table, "{:<16} {:?}", format!("{mutation:?}"), row.breaches).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
--- /dev/null
+++ b/crates/steer/tests/support/fake_peers.rs
@@ -0,0 +1,76 @@
+//! Peers in the same process, over a network that loses answers.
+
+use super::world::World;
+use async_trait::async_trait;
+use http::{Request, Response};
+use std::{net::SocketAddr, sync::Arc};
+use steer::{
+    Body, EntryNode, Origin, PeerError, PeerMessage, PeerReply, Peers, SendError, full_body,
+    serve_request,
+};
+
+#[derive(Debug)]
+pub struct FakePeers {
+    pub vm: usize,
+    pub world: Arc<World>,
+}
+
+impl FakePeers {
+    /// The peer at an address, unless it or this VM is dead.
+    fn find(&self, address: SocketAddr) -> Option<Arc<EntryNode>> {
+        let nodes = self.world.nodes();
+        let is_it = |n: &Arc<EntryNode>| {
+            let addresses = n.vm().addresses;
+            addresses.peers == address || addresses.handoff == address
+        };
+        let index = nodes.iter().position(is_it)?;
+        let dead = self.world.is_dead(index) || self.world.is_dead(self.vm);
+        (!dead).then(|| Arc::clone(&nodes[index]))
+    }
+}
+
+#[async_trait]
+impl Peers for FakePeers {
+    async fn call(&self, peer: SocketAddr, message: PeerMessage) -> Result<PeerReply, PeerError> {
+        self.world.delay().await;
+        let unreachable = || PeerError::Unreachable("dead or lost".into());
+        let node = self.find(peer).ok_or_else(unreachable)?;
+        if self.world.comes(self.world.faults.lost) {
+            return Err(unreachable());
+        }
+        node.answer_peer(message).ok_or_else(|| PeerError::Refused("refused".into()))
+    }
+
+    async fn hand_off(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.world.delay().await;
+        let Some(node) = self.find(peer) else {
+            return Err(SendError::not_sent("dead", request));
+        };
+        if self.world.comes(self.world.faults.refused) {
+            return Err(SendError::not_sent("refused", request));
+        }
+        let id = request.headers()["x-request-id"].clone();
+        let sender = format!("entry-{}", self.vm).as_str().into();
+        let serving =
+            tokio::spawn(async move { serve_request(&node, request, Origin::Peer(sender)).await });
+        let served = serving.await.map_err(|e| SendError::sent(e.to_string()))?;
+        self.world.delay().await;
+        if self.world.comes(self.world.faults.lost) || self.find(peer).is_none() {
+            return Err(SendError::sent("the answer was lost"));
+        }
+        let mut response = served.unwrap_or_else(|refusal| {
+            let answer = refusal.answer();
+            let mut response = Response::new(full_body(refusal.detail));
+            *response.status_mut() = answer.status;
+            let outcome = answer.outcome.to_string().parse().unwrap();
+            response.headers_mut().insert("request-outcome", outcome);
+            response
+        });
+        response.headers_mut().insert("x-request-id", id);
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/support/fake_targets.rs
@@ -0,0 +1,76 @@
+//! Targets that note what they run, and end their connections by the seed.
+
+use super::{history::Ran, world::World};
+use async_trait::async_trait;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use steer::{Body, LoadError, LoadReport, SendError, Targets, full_body};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+#[derive(Debug)]
+pub struct FakeTargets {
+    crashes: BTreeMap<String, watch::Sender<u64>>,
+    world: Arc<World>,
+}
+
+fn header<B>(request: &Request<B>, name: &str) -> String {
+    request.headers()[name].to_str().unwrap().to_owned()
+}
+
+impl FakeTargets {
+    pub fn new(world: Arc<World>) -> Self {
+        let names = (1..=4).map(|n| (format!("10.0.0.{n}:1"), watch::Sender::new(0)));
+        Self { crashes: names.collect(), world }
+    }
+}
+
+#[async_trait]
+impl Targets for FakeTargets {
+    async fn send(
+        &self,
+        target: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        let (faults, target) = (self.world.faults, target.to_string());
+        self.world.delay().await;
+        if self.world.comes(faults.refused) {
+            return Err(SendError::not_sent("refused", request));
+        }
+        let (id, key) = (header(&request, "x-request-id"), header(&request, "idempotency-key"));
+        if self.world.comes(faults.reset) {
+            return Err(SendError::sent("reset before it ran"));
+        }
+        let body = request.into_body().collect().await;
+        let Ok(body) = body else { return Err(SendError::sent("the body broke off")) };
+        assert_eq!(body.to_bytes(), key.as_bytes());
+        let ran = Ran { at: Instant::now(), id, key: key.clone(), target: target.clone() };
+        self.world.history().ran.push(ran);
+        let crash = &self.crashes[&target];
+        let mut crashed = crash.subscribe();
+        if key.starts_with("poison") {
+            sleep(Duration::from_millis(20)).await;
+            crash.send_modify(|n| *n += 1);
+            return Err(SendError::sent("the target ended"));
+        }
+        let work = Duration::from_millis(5 + self.world.below(100));
+        tokio::select! {
+            () = sleep(work) => {}
+            _ = crashed.changed() => return Err(SendError::sent("the target ended")),
+        }
+        if self.world.comes(faults.reset) {
+            return Err(SendError::sent("reset after it ran"));
+        }
+        if self.world.comes(faults.lost) {
+            sleep(Duration::from_secs(30)).await;
+        }
+        Ok(Response::new(full_body(format!("done {key}"))))
+    }
+
+    async fn read_load(&self, _target: SocketAddr) -> Result<LoadReport, LoadError> {
+        Err(LoadError { reason: "no report".into() })
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/support/world.rs
@@ -0,0 +1,232 @@
+//! A zone of entry VMs over fakes that share a seed and a history.
+
+use super::{
+    fake_peers::FakePeers,
+    fake_platform::FakePlatform,
+    fake_targets::FakeTargets,
+    history::{History, Told},
+};
+use http::Request;
+use http_body_util::BodyExt;
+use jiff::Timestamp;
+use quickcheck::{Arbitrary, Gen};
+use std::{
+    collections::BTreeSet,
+    fmt::{self, Debug, Formatter},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use steer::{
+    Clock, EntryNode, EntryPorts, EntryVm, NoMeter, NoTracer, Origin, Outcome, PoolKey, Serving,
+    SettingsDocument, SettingsPath, Vm, VmAddresses, full_body, serve_request, share_suspects,
+};
+use tokio::time::{Instant, sleep};
+
+/// Which faults come, each in so many of a hundred calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub lost: u8,
+    pub paused: u8,
+    pub refused: u8,
+    pub reset: u8,
+    pub split: bool,
+}
+
+/// What the fakes share.
+pub struct World {
+    pub dead: Mutex<BTreeSet<usize>>,
+    pub faults: Faults,
+    pub history: Mutex<History>,
+    pub jumps: Mutex<Vec<Duration>>,
+    pub nodes: Mutex<Vec<Arc<EntryNode>>>,
+    pub platform: Mutex<super::fake_platform::Store>,
+    gen_: Mutex<Gen>,
+    start: Instant,
+}
+
+impl Debug for World {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("World").finish_non_exhaustive()
+    }
+}
+
+/// A VM's time of day, which jumps where the VM was paused.
+#[derive(Debug)]
+struct FakeClock {
+    vm: usize,
+    world: Arc<World>,
+}
+
+impl Clock for FakeClock {
+    fn now(&self) -> Timestamp {
+        let jump = self.world.jumps.lock().unwrap()[self.vm];
+        Timestamp::UNIX_EPOCH + self.world.start.elapsed() + jump
+    }
+}
+
+const FLEET: &str = r#"{ "fleet": "test", "regions": { "r": { "delay_ms": 1, "zones": ["z"] } },
+    "teams": { "payouts": { "max_shift": 1, "services": ["payouts"] } } }"#;
+const TEAM: &str = r#"{ "services": { "payouts": { "hosts": ["payouts"],
+    "classes": {
+        "approve": { "deadline_ms": 5000, "matches": [{ "path": "/approvals" }],
+            "repeat": "at-most-once", "max_body": 1000 },
+        "read": { "deadline_ms": 5000, "matches": [{ "path": "/read" }], "repeat": "idempotent" } },
+    "targets": {
+        "t1": { "address": "10.0.0.1:1", "slots": 4, "zone": "z" },
+        "t2": { "address": "10.0.0.2:1", "slots": 4, "zone": "z" },
+        "t3": { "address": "10.0.0.3:1", "slots": 4, "zone": "z" },
+        "t4": { "address": "10.0.0.4:1", "slots": 4, "zone": "z" } } } } }"#;
+
+impl World {
+    pub fn new(seed: u64, vms: usize, faults: Faults) -> Arc<Self> {
+        Arc::new(Self {
+            dead: Mutex::default(),
+            faults,
+            history: Mutex::default(),
+            jumps: Mutex::new(vec![Duration::ZERO; vms]),
+            nodes: Mutex::default(),
+            platform: Mutex::default(),
+            gen_: Mutex::new(Gen::from_size_and_seed(100, seed)),
+            start: Instant::now(),
+        })
+    }
+
+    /// Makes the entry VMs and lets them hear of each other, but where the zone is split.
+    pub fn start(self: &Arc<Self>, vms: usize) -> Vec<Vm<Serving>> {
+        let made: Vec<_> = (0..vms).map(|vm| self.make_vm(vm)).collect();
+        if !self.faults.split {
+            self.introduce();
+            let world = Arc::clone(self);
+            tokio::spawn(async move {
+                loop {
+                    world.introduce();
+                    sleep(Duration::from_millis(500)).await;
+                }
+            });
+        }
+        for node in self.nodes() {
+            tokio::spawn(async move { share_suspects(&node).await });
+        }
+        made
+    }
+
+    fn make_vm(self: &Arc<Self>, vm: usize) -> Vm<Serving> {
+        let address = |port| format!("10.1.0.{vm}:{port}").parse().unwrap();
+        let world = || Arc::clone(self);
+        let ports = EntryPorts {
+            clock: Arc::new(FakeClock { vm, world: world() }),
+            meter: Arc::new(NoMeter),
+            peers: Arc::new(FakePeers { vm, world: world() }),
+            platform: Arc::new(FakePlatform { vm, world: world() }),
+            targets: Arc::new(FakeTargets::new(world())),
+            tracer: Arc::new(NoTracer),
+        };
+        let entry = EntryVm {
+            addresses: VmAddresses {
+                callers: address(1),
+                handoff: address(2),
+                operators: address(3),
+                peers: address(4),
+            },
+            fleet: "test".into(),
+            incarnation: 1,
+            name: format!("entry-{vm}").as_str().into(),
+            region: "r".into(),
+            zone: "z".into(),
+        };
+        let (joining, state) = Vm::join();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let node = Arc::new(EntryNode::new(entry, ports, state, log));
+        for (path, text) in
+            [(SettingsPath::Fleet, FLEET), (SettingsPath::Team("payouts".into()), TEAM)]
+        {
+            assert!(node.offer_settings(&SettingsDocument { path, text: text.into(), version: 1 }));
+        }
+        self.nodes.lock().unwrap().push(node);
+        joining.serve()
+    }
+
+    fn introduce(&self) {
+        let dead = self.dead.lock().unwrap().clone();
+        let nodes = self.nodes();
+        let beats: Vec<_> = nodes.iter().map(|node| node.heartbeat()).collect();
+        for (a, node) in nodes.iter().enumerate() {
+            for (b, beat) in beats.iter().enumerate() {
+                if a != b && !dead.contains(&a) && !dead.contains(&b) {
+                    node.hear(beat.clone());
+                }
+            }
+        }
+    }
+
+    pub fn nodes(&self) -> Vec<Arc<EntryNode>> {
+        self.nodes.lock().unwrap().clone()
+    }
+
+    pub fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap()
+    }
+
+    /// A number below a bound, by the seed.
+    pub fn below(&self, bound: u64) -> u64 {
+        u64::arbitrary(&mut self.gen_.lock().unwrap()) % bound
+    }
+
+    /// Tells, by the seed, whether a fault comes now.
+    pub fn comes(&self, of_hundred: u8) -> bool {
+        self.below(100) < u64::from(of_hundred)
+    }
+
+    pub async fn delay(&self) {
+        let delay = Duration::from_millis(self.below(40));
+        sleep(delay).await;
+    }
+
+    pub fn is_dead(&self, vm: usize) -> bool {
+        self.dead.lock().unwrap().contains(&vm)
+    }
+
+    /// The pool that all requests of the tests use.
+    pub fn pool_key() -> PoolKey {
+        PoolKey::new("payouts", "z")
+    }
+
+    /// A caller's request; keys that begin with `pay` run at most once.
+    pub fn request(key: &str, id: &str) -> Request<steer::Body> {
+        let path = if key.starts_with("pay") { "/approvals" } else { "/read" };
+        Request::post(path)
+            .header("host", "payouts")
+            .header("idempotency-key", key)
+            .header("x-request-id", id)
+            .body(full_body(key.to_owned()))
+            .unwrap()
+    }
+
+    /// Sends a request to an entry VM and notes what the caller is told.
+    pub async fn ask(&self, vm: usize, key: &str, id: &str) -> Outcome {
+        let node = Arc::clone(&self.nodes()[vm]);
+        let sent = Instant::now();
+        let answer = serve_request(&node, Self::request(key, id), Origin::Caller).await;
+        let (outcome, body) = match answer {
+            Err(refusal) => (refusal.answer().outcome, None),
+            Ok(response) => {
+                let outcome = response.headers()["request-outcome"].to_str().unwrap();
+                let outcome = Outcome::parse(outcome).unwrap();
+                let fine = response.status().is_success();
+                match response.into_body().collect().await {
+                    Ok(whole) if fine => {
+                        let text = String::from_utf8(whole.to_bytes().to_vec()).unwrap();
+                        (outcome, Some(text))
+                    }
+                    Ok(_) => (outcome, None),
+                    Err(_) => (Outcome::Unknown, None),
+                }
+            }
+        };
+        let (id, key) = (id.to_owned(), key.to_owned());
+        if !self.is_dead(vm) {
+            self.history().told.push(Told { body, id, key, outcome, sent });
+        }
+        outcome
+    }
+}
