--- a/crates/adapters/src/peers/mod.rs
+++ b/crates/adapters/src/peers/mod.rs
@@ -3,5 +3,7 @@
 mod rpc_peers;
 mod rpc_server;
 mod wire;
+mod wire_exchange;
+mod wire_suspects;
 
 pub use self::{rpc_peers::RpcPeers, rpc_server::serve_peers};
--- /dev/null
+++ b/crates/adapters/src/peers/wire_suspects.rs
@@ -0,0 +1,36 @@
+//! Requests that ended targets, as peers tell each other about them.
+
+use super::wire::WireError;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use steer::{Fingerprint, Suspect};
+
+/// Method that tells which requests ended targets.
+pub(super) const SUSPECTS: &str = "suspects";
+
+/// Suspects as fingerprint, targets and age in milliseconds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireSuspects(Vec<(String, Vec<String>, u64)>);
+
+impl From<&[Suspect]> for WireSuspects {
+    fn from(suspects: &[Suspect]) -> Self {
+        let rows = suspects.iter().map(|suspect| {
+            let targets = suspect.targets.iter().map(ToString::to_string).collect();
+            (suspect.print.to_string(), targets, suspect.age.as_millis() as u64)
+        });
+        Self(rows.collect())
+    }
+}
+
+impl TryFrom<WireSuspects> for Vec<Suspect> {
+    type Error = WireError;
+
+    fn try_from(wire: WireSuspects) -> Result<Self, WireError> {
+        let rows = wire.0.into_iter().map(|(print, targets, age)| {
+            let print = Fingerprint::parse(&print).ok_or_else(|| format!("no print: {print}"))?;
+            let targets = targets.into_iter().map(|name| name.as_str().into()).collect();
+            Ok(Suspect { age: Duration::from_millis(age), print, targets })
+        });
+        rows.collect()
+    }
+}
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -25,6 +25,8 @@
     #[serde(default)]
     pub(crate) drain_s: Option<u64>,
     #[serde(default)]
+    pub(crate) seeds: Vec<SocketAddr>,
+    #[serde(default)]
     pub(crate) traces: Option<TraceSettings>,
     pub(crate) zone: AvailabilityZoneName,
 }
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -1,6 +1,7 @@
 //! The flows: one straight async function for each life.
 
 mod attempt;
+mod backoff;
 mod call;
 mod known_answer;
 mod recorded_body;
@@ -17,10 +18,11 @@
 
 pub use self::{
     attempt::{Answered, Attempt, AttemptError, Cleared, Sent, Unsent},
+    backoff::Backoff,
     call::{Call, Origin},
     known_answer::REPLAYED_HEADER,
     refusal::Refusal,
-    run_entry::{StopRules, run_entry},
+    run_entry::{StopRules, drain_and_stop, run_entry},
     serve_request::{HOP_HEADER, OUTCOME_HEADER, REQUEST_ID, TRACE_HEADER, serve_request},
     share_suspects::share_suspects,
     talk_to_peer::talk_to_peer,
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -12,6 +12,11 @@
     time::{Instant, sleep, timeout},
 };
 
+/// Time that peers get to be met before this VM serves.
+const JOIN_GRACE: Duration = Duration::from_millis(500);
+/// Time between two looks at what peers have.
+const JOIN_STEP: Duration = Duration::from_millis(20);
+
 /// How an entry VM stops.
 ///
 /// ```
@@ -92,9 +97,31 @@
     let vm = vm.serve();
     info!(node.log(), "vm: serving"; "name" => %node.vm().name);
     let vm = serve_until_stopped(&node, vm, &mut stop).await;
-    finish_work(&node, &mut stop, rules).await;
+    finish_and_stop(&node, vm, &mut stop, rules).await
+}
+
+/// Drains a serving VM and stops it: peers hear at once, queued requests move to the pools' new
+/// owners, and what runs finishes. A message on `stop`, or the limit of the rules, cuts the rest.
+pub async fn drain_and_stop(
+    node: &Arc<EntryNode>,
+    vm: Vm<Serving>,
+    stop: &mut Receiver<()>,
+    rules: StopRules,
+) -> Vm<Stopped> {
+    let vm = vm.drain();
+    announce(node).await;
+    finish_and_stop(node, vm, stop, rules).await
+}
+
+async fn finish_and_stop(
+    node: &Arc<EntryNode>,
+    vm: Vm<Draining>,
+    stop: &mut Receiver<()>,
+    rules: StopRules,
+) -> Vm<Stopped> {
+    finish_work(node, stop, rules).await;
     let vm = vm.stop();
-    announce(&node).await;
+    announce(node).await;
     info!(node.log(), "vm: stopped"; "name" => %node.vm().name);
     vm
 }
@@ -141,14 +168,14 @@
     node.snapshot().drains(now).any(|d| matches!(d, DrainSettings::EntryVm(name) if name == own))
 }
 
-/// Tells all peers this VM's state at once, rather than with the next heartbeat.
+/// Tells close peers this VM's state at once, rather than with the next heartbeat.
 async fn announce(node: &Arc<EntryNode>) {
     let mut calls = JoinSet::new();
-    for peer in node.peers() {
+    for peer in node.close_peers() {
         let node = Arc::clone(node);
         calls.spawn(async move {
             let beat = PeerMessage::Heartbeat(node.heartbeat());
-            let reply = node.ports().peers.call(peer.vm.addresses.peers, beat).await;
+            let reply = node.ports().peers.call(peer, beat).await;
             if let Ok(PeerReply::Heartbeat(theirs)) = reply {
                 node.hear(theirs);
             }
@@ -185,9 +212,15 @@
     }
 }
 
-/// Waits until the fleet's settings are in force.
+/// Waits until the fleet's settings are in force, and no peer is known to have newer ones. Where
+/// peers are named but none was met yet, they get a little time.
 async fn wait_for_settings(node: &EntryNode) {
     let mut snapshot = node.watch_snapshot();
-    let found = snapshot.wait_for(|s| s.fleet().is_some()).await;
-    debug_assert!(found.is_ok(), "the node keeps the sender");
+    let found = snapshot.wait_for(|s| s.fleet().is_some()).await.is_ok();
+    debug_assert!(found, "the node keeps the sender");
+    let grace = Instant::now() + JOIN_GRACE;
+    let is_waiting = || node.peers().is_empty() && Instant::now() < grace;
+    while is_waiting() || !node.has_current_settings() {
+        sleep(JOIN_STEP).await;
+    }
 }
--- a/crates/steer/src/flows/share_suspects.rs
+++ b/crates/steer/src/flows/share_suspects.rs
@@ -1,7 +1,6 @@
 //! The life of the talk about requests that end targets.
 
 use crate::{EntryNode, PeerMessage, PeerReply};
-use rand::seq::IndexedRandom;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     task::JoinSet,
@@ -15,25 +14,26 @@
 /// Time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
-/// Tells all peers at once when a request has ended a target, and exchanges what is known with
-/// one peer now and then.
+/// Tells peers at once when a request has ended a target, and exchanges what is known with one
+/// peer now and then. News go to the peers of the own availability zone and those that this VM
+/// speaks with; each tells on what is news to it, so that all of the fleet hears.
 pub async fn share_suspects(node: &Arc<EntryNode>) {
-    loop {
-        let peers: Vec<SocketAddr> = node.peers().iter().map(|p| p.vm.addresses.peers).collect();
+    for turn in 0usize.. {
+        let peers = node.close_peers();
         match timeout(PERIOD, node.poison().changed()).await {
-            Ok(()) => tell_all(node).await,
+            Ok(()) => tell_close(node).await,
             Err(_) => {
-                let peer = peers.choose(&mut rand::rng()).copied();
-                if let Some(peer) = peer {
-                    tell_one(node, peer).await;
+                let turn = turn.checked_rem(peers.len()).unwrap_or_default();
+                if let Some(peer) = peers.get(turn) {
+                    tell_one(node, *peer).await;
                 }
             }
         }
     }
 }
 
-async fn tell_all(node: &Arc<EntryNode>) {
-    let mut open: Vec<SocketAddr> = node.peers().iter().map(|p| p.vm.addresses.peers).collect();
+async fn tell_close(node: &Arc<EntryNode>) {
+    let mut open = node.close_peers();
     for _ in 0..ROUNDS {
         let mut calls = JoinSet::new();
         for peer in open {
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod bounded_body;
 mod clock;
+mod guarded_platform;
 mod meter;
 mod peers;
 mod platform;
@@ -15,10 +16,11 @@
     body::{Body, BodyError, empty_body, full_body, hold_until_end},
     bounded_body::{BodyFault, BodyLimits, bound_body},
     clock::{Clock, SystemClock},
+    guarded_platform::GuardedPlatform,
     meter::{Meter, NoMeter},
     peers::{
-        Heartbeat, PeerError, PeerMessage, PeerReply, Peers, PoolRoom, SettingsBatch,
-        SettingsDocument, SettingsQuery,
+        Cursor, Exchange, Heartbeat, MemberNews, PeerError, PeerMessage, PeerReply, Peers,
+        PoolRoom, RoomNews, SettingsBatch, SettingsDocument, SettingsQuery,
     },
     platform::{Expected, Platform, PlatformObject, PlatformVm, VmKindTag, WatchBatch},
     platform_error::PlatformError,
