--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -27,5 +27,5 @@
     share_suspects::share_suspects,
     talk_to_peer::talk_to_peer,
     watch_settings::watch_settings,
-    watch_vms::watch_vms,
+    watch_vms::{tell_all, watch_vms},
 };
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,9 +1,7 @@
 //! The life of an entry VM.
 
-use super::{share_suspects, watch_settings, watch_vms};
-use crate::{
-    DrainSettings, Draining, EntryNode, Joining, PeerMessage, PeerReply, Serving, Stopped, Vm,
-};
+use super::{share_suspects, tell_all, watch_settings, watch_vms};
+use crate::{DrainSettings, Draining, EntryNode, Joining, Serving, Stopped, Vm};
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -66,8 +64,6 @@
 
 /// Time between looks at the drains in the settings; maintenance windows open by the clock.
 const DRAIN_PERIOD: Duration = Duration::from_millis(500);
-/// Longest wait for peers to hear of a new state.
-const ANNOUNCE_WAIT: Duration = Duration::from_secs(1);
 
 /// Runs an entry VM until a first message on `stop`: joins, serves, then drains until the last
 /// answer. A second message, or the limit of the rules, cuts what is still under way.
@@ -89,7 +85,7 @@
 
     tokio::select! {
         () = wait_for_settings(&node) => {}
-        _ = stop.recv() => {
+        Some(()) = stop.recv() => {
             info!(node.log(), "vm: stopped before it served"; "name" => %node.vm().name);
             return vm.serve().drain().stop();
         }
@@ -109,7 +105,7 @@
     rules: StopRules,
 ) -> Vm<Stopped> {
     let vm = vm.drain();
-    announce(node).await;
+    tell_all(node).await;
     finish_and_stop(node, vm, stop, rules).await
 }
 
@@ -121,7 +117,7 @@
 ) -> Vm<Stopped> {
     finish_work(node, stop, rules).await;
     let vm = vm.stop();
-    announce(node).await;
+    tell_all(node).await;
     info!(node.log(), "vm: stopped"; "name" => %node.vm().name);
     vm
 }
@@ -135,21 +131,21 @@
     loop {
         tokio::select! {
             () = wait_for_drain(node, true) => {}
-            _ = stop.recv() => {
+            Some(()) = stop.recv() => {
                 let vm = vm.drain();
-                announce(node).await;
+                tell_all(node).await;
                 return vm;
             }
         }
         let paused = vm.pause();
-        announce(node).await;
+        tell_all(node).await;
         info!(node.log(), "vm: drained by the settings"; "requests" => node.work().len());
         tokio::select! {
             () = wait_for_drain(node, false) => {}
-            _ = stop.recv() => return paused.drain(),
+            Some(()) = stop.recv() => return paused.drain(),
         }
         vm = paused.serve();
-        announce(node).await;
+        tell_all(node).await;
         info!(node.log(), "vm: serving again");
     }
 }
@@ -168,25 +164,6 @@
     node.snapshot().drains(now).any(|d| matches!(d, DrainSettings::EntryVm(name) if name == own))
 }
 
-/// Tells close peers this VM's state at once, rather than with the next heartbeat.
-async fn announce(node: &Arc<EntryNode>) {
-    let mut calls = JoinSet::new();
-    for peer in node.close_peers() {
-        let node = Arc::clone(node);
-        calls.spawn(async move {
-            let beat = PeerMessage::Heartbeat(node.heartbeat());
-            let reply = node.ports().peers.call(peer, beat).await;
-            if let Ok(PeerReply::Heartbeat(theirs)) = reply {
-                node.hear(theirs);
-            }
-        });
-    }
-    let told = timeout(ANNOUNCE_WAIT, calls.join_all()).await;
-    if told.is_err() {
-        warn!(node.log(), "vm: some peers did not hear of the new state in time");
-    }
-}
-
 /// Waits for the last answer, a second message to stop, or the limit.
 async fn finish_work(node: &EntryNode, stop: &mut Receiver<()>, rules: StopRules) {
     let start = Instant::now();
@@ -198,7 +175,7 @@
     };
     let reason = tokio::select! {
         () = finished => None,
-        _ = stop.recv() => Some("second signal"),
+        Some(()) = stop.recv() => Some("second signal"),
         () = sleep(rules.limit) => Some("limit reached"),
     };
     let meter = &node.ports().meter;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod choice;
 mod errors;
+mod explain;
 mod flows;
 mod lookup;
 mod membership;
@@ -30,6 +31,6 @@
 mod settings;
 
 pub use self::{
-    choice::*, errors::*, flows::*, lookup::*, membership::*, names::*, node::*, once::*,
-    poison::*, pool::*, ports::*, routing::*, settings::*,
+    choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*, node::*,
+    once::*, poison::*, pool::*, ports::*, routing::*, settings::*,
 };
