--- a/crates/steer/src/flows/attempt.rs
+++ b/crates/steer/src/flows/attempt.rs
@@ -171,6 +171,11 @@
 }
 
 impl Attempt<Answered> {
+    /// The answer, as long as it isn't taken.
+    pub fn response(&self) -> &Response<Body> {
+        &self.state.response
+    }
+
     /// Gives the answer.
     pub fn into_response(self) -> Response<Body> {
         self.state.response
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod call;
 mod known_answer;
+mod poll_targets;
 mod recorded_body;
 mod refusal;
 mod route_request;
@@ -21,6 +22,7 @@
     backoff::Backoff,
     call::{Call, Origin},
     known_answer::REPLAYED_HEADER,
+    poll_targets::poll_targets,
     refusal::Refusal,
     run_entry::{StopRules, drain_and_stop, run_entry},
     serve_request::{HOP_HEADER, OUTCOME_HEADER, REQUEST_ID, TRACE_HEADER, serve_request},
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,6 +1,6 @@
 //! The life of an entry VM.
 
-use super::{share_suspects, tell_all, watch_settings, watch_vms};
+use super::{poll_targets, share_suspects, tell_all, watch_settings, watch_vms};
 use crate::{DrainSettings, Draining, EntryNode, Joining, Serving, Stopped, Vm};
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -82,6 +82,8 @@
     tasks.spawn(async move { watch_vms(&watcher).await });
     let sharer = Arc::clone(&node);
     tasks.spawn(async move { share_suspects(&sharer).await });
+    let poller = Arc::clone(&node);
+    tasks.spawn(async move { poll_targets(&poller).await });
 
     tokio::select! {
         () = wait_for_settings(&node) => {}
--- a/crates/steer/src/flows/send_guard.rs
+++ b/crates/steer/src/flows/send_guard.rs
@@ -1,7 +1,7 @@
 //! What stands between a free slot and the first byte to a target.
 
 use super::{
-    Attempt, Call, Cleared, OUTCOME_HEADER, Refusal, Sent, Unsent,
+    Attempt, Call, Cleared, OUTCOME_HEADER, Refusal, Unsent,
     known_answer::known_answer,
     recorded_body::{Recorder, record_answer},
     serve_request::outcome_of,
@@ -155,10 +155,10 @@
         }
     }
 
-    /// Refuses a request that may have run, and notes what its target came to.
-    pub(super) fn failed(mut self, attempt: Attempt<Sent>, kind: ErrorKind) -> Refusal {
+    /// Notes what a target came to whose request may have run; gives the kind of the failure.
+    pub(super) fn failed(mut self, kind: ErrorKind) -> ErrorKind {
         if self.call.fault.is_set() {
-            return attempt.refuse_unknown(ErrorKind::BodyCut);
+            return ErrorKind::BodyCut;
         }
         if let (ErrorKind::TargetFailed, Some(target)) = (kind, &self.target) {
             warn!(self.node.log(), "request: its target ended the connection";
@@ -172,7 +172,7 @@
                 });
             }
         }
-        attempt.refuse_unknown(kind)
+        kind
     }
 
     fn recorder(&self, key: OnceKey<Claimed>) -> Recorder {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(choose_owner(&PoolKey::new("briefs", "lis-a"), &vms).is_some());
 //! ```
 
+mod admission;
 mod choice;
 mod errors;
 mod explain;
@@ -27,10 +28,11 @@
 mod poison;
 mod pool;
 mod ports;
+mod retry;
 mod routing;
 mod settings;
 
 pub use self::{
-    choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*, node::*,
-    once::*, poison::*, pool::*, ports::*, routing::*, settings::*,
+    admission::*, choice::*, errors::*, explain::*, flows::*, lookup::*, membership::*, names::*,
+    node::*, once::*, poison::*, pool::*, ports::*, retry::*, routing::*, settings::*,
 };
