--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -119,7 +119,6 @@
 ) -> Vm<Stopped> {
     finish_work(node, stop, rules).await;
     let vm = vm.stop();
-    tell_all(node).await;
     info!(node.log(), "vm: stopped"; "name" => %node.vm().name);
     vm
 }
