--- a/crates/adapters/src/callers/caller_front.rs
+++ b/crates/adapters/src/callers/caller_front.rs
@@ -1,9 +1,9 @@
 //! Answers callers' requests and look-ups.
 
 use super::{LOOKUP_PATH, lookup_front::answer_lookup, to_response};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
 use std::{net::SocketAddr, sync::Arc};
-use steer::{Body, EntryNode, ErrorKind, HOP_HEADER, Origin, Refusal, serve_request};
+use steer::{Body, EntryNode, ErrorKind, HOP_HEADER, Origin, REQUEST_ID, Refusal, serve_request};
 
 /// Answers a caller's request or look-up.
 pub async fn answer_caller(
@@ -29,8 +29,17 @@
 }
 
 async fn respond(node: &EntryNode, request: Request<Body>, origin: Origin) -> Response<Body> {
-    match serve_request(node, request, origin).await {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut response = match serve_request(node, request, origin).await {
         Ok(response) => response,
         Err(refusal) => to_response(&refusal),
+    };
+    let headers = response.headers_mut();
+    if let Some(id) = id {
+        headers.insert(REQUEST_ID, id);
+    }
+    if !node.state().accepts_work() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
--- a/crates/adapters/src/peers/mod.rs
+++ b/crates/adapters/src/peers/mod.rs
@@ -5,5 +5,6 @@
 mod wire;
 mod wire_exchange;
 mod wire_lease;
+mod wire_suspects;
 
 pub use self::{rpc_peers::RpcPeers, rpc_server::serve_peers};
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -4,6 +4,7 @@
     wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
     wire_exchange::WireExchange,
     wire_lease::{LEASE, WireAsk, WireGrant},
+    wire_suspects::{SUSPECTS, WireSuspects},
 };
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
@@ -163,6 +164,13 @@
                 let batch = SettingsBatch::try_from(wire).map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Settings(batch))
             }
+            PeerMessage::Suspects(suspects) => {
+                let method = (SUSPECTS, ControlPart::Other);
+                let wire = WireSuspects::from(suspects.as_slice());
+                let wire: WireSuspects = self.request(peer, method, &wire).await?;
+                let known = wire.try_into().map_err(PeerError::Invalid)?;
+                Ok(PeerReply::Suspects(known))
+            }
         }
     }
 
--- a/crates/adapters/src/peers/rpc_server.rs
+++ b/crates/adapters/src/peers/rpc_server.rs
@@ -5,6 +5,7 @@
     wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
     wire_exchange::WireExchange,
     wire_lease::{LEASE, WireAsk, WireGrant},
+    wire_suspects::{SUSPECTS, WireSuspects},
 };
 use jsonrpsee::{
     RpcModule,
@@ -50,6 +51,9 @@
         .register_method(SETTINGS, |params, node, _| answer_settings(&params, node))
         .expect("each method is registered once");
     module
+        .register_method(SUSPECTS, |params, node, _| answer_suspects(&params, node))
+        .expect("each method is registered once");
+    module
 }
 
 fn answer_exchange(
@@ -112,6 +116,18 @@
     }
 }
 
+fn answer_suspects(
+    params: &Params<'_>,
+    node: &EntryNode,
+) -> Result<WireSuspects, ErrorObjectOwned> {
+    let wire: WireSuspects = params.one()?;
+    let suspects = wire.try_into().map_err(|e: String| refuse(&e))?;
+    match node.answer_peer(PeerMessage::Suspects(suspects)) {
+        Ok(PeerReply::Suspects(known)) => Ok(WireSuspects::from(known.as_slice())),
+        _ => Err(refuse("no suspects")),
+    }
+}
+
 /// Counts the bytes of a message and of its reply.
 fn note(node: &EntryNode, part: ControlPart, params: &Params<'_>, reply: &impl Serialize) {
     let sent = serde_json::to_string(reply).map_or(0, |text| text.len());
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -36,6 +36,9 @@
     pub(crate) platform: SocketAddr,
     /// Region of this VM.
     pub(crate) region: RegionName,
+    /// Longest time for work under way after the first signal to stop, in seconds.
+    #[serde(default)]
+    pub(crate) drain_s: Option<u64>,
     /// Addresses of peers that are asked first, should the platform not answer.
     #[serde(default)]
     pub(crate) seeds: Vec<SocketAddr>,
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -5,29 +5,35 @@
 mod backoff;
 mod borrow_room;
 mod call;
+mod known_answer;
 mod poll_targets;
+mod recorded_body;
 mod refusal;
 mod renew_room;
 mod renew_shares;
 mod route_request;
 mod run_entry;
 mod run_in_pool;
+mod send_guard;
 mod serve_request;
+mod share_suspects;
 mod talk_to_peer;
 mod watch_roster;
 mod watch_settings;
 mod watch_vms;
 
 pub use self::{
-    attempt::{Answered, Attempt, AttemptError, Sent, Unsent},
+    attempt::{Answered, Attempt, AttemptError, Cleared, Sent, Unsent},
     backoff::Backoff,
     call::{Call, Origin},
+    known_answer::REPLAYED_HEADER,
     poll_targets::poll_targets,
     refusal::Refusal,
     renew_room::renew_room,
     renew_shares::renew_shares,
-    run_entry::run_entry,
-    serve_request::{HOP_HEADER, OUTCOME_HEADER, TRACE_HEADER, serve_request},
+    run_entry::{StopRules, drain_and_stop, run_entry},
+    serve_request::{HOP_HEADER, OUTCOME_HEADER, REQUEST_ID, TRACE_HEADER, serve_request},
+    share_suspects::share_suspects,
     talk_to_peer::talk_to_peer,
     watch_roster::watch_roster,
     watch_settings::watch_settings,
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -2,16 +2,18 @@
 
 use super::{
     Attempt, AttemptError, Call, HOP_HEADER, OUTCOME_HEADER, Origin, Refusal, Unsent,
-    borrow_room::borrow_room, run_in_pool::run_in_pool, serve_request::set_header,
+    borrow_room::borrow_room,
+    run_in_pool::{PoolExit, draining, run_in_pool},
+    serve_request::set_header,
 };
 use crate::{
     AdmitError, Body, EntryNode, EntryVm, ErrorKind, Outcome, Permit, PoolKey, PoolOwner,
-    RegionName, RoomTicket, SendError, VmName, empty_body, pace_body,
+    RegionName, RoomTicket, VmName, empty_body, pace_body,
 };
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body::Body as _;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Header with the number of the lease in whose slot a request runs.
 const LEASE_HEADER: HeaderName = HeaderName::from_static("x-room-lease");
@@ -99,7 +101,7 @@
 }
 
 /// Waits in the queue of a pool that this VM owns and looks for room elsewhere meanwhile,
-/// whichever comes first.
+/// whichever comes first. Where the VM begins to drain, the request goes to the new owner.
 async fn run_or_move(
     node: &EntryNode,
     call: &Call,
@@ -109,34 +111,79 @@
     let pool = node.pool(key);
     let bodyless = attempt.is_bodyless();
     let ticket = call.ticket().bodyless(bodyless).whole(bodyless);
+    let moves = node.state().accepts_work();
     let place = tokio::select! {
         biased;
         permit = pool.admit(&ticket) => Place::Here(permit),
+        () = draining(node), if moves => Place::NewOwner,
         place = look_elsewhere(node, call, key) => place,
     };
     match place {
         Place::Here(Ok(permit)) => {
             let start = Instant::now();
-            let result = run_in_pool(node, call, attempt, key, Some(permit)).await;
+            let result = run_here(node, call, attempt, key, Some(permit)).await;
             note_home(node, call, &result, start);
             result
         }
         Place::Here(Err(error)) => Err(error.explain(attempt.refuse_not_run(error.kind))),
+        Place::NewOwner => move_to_owner(node, call, attempt, key).await,
         Place::There(peer, there, ticket) => {
             match hand_over(node, call, attempt, &peer, &there, ticket).await {
                 Ok(response) => Ok(response),
-                Err(AttemptError::NotSent(back, _)) => {
-                    run_in_pool(node, call, back, key, None).await
-                }
+                Err(AttemptError::NotSent(back, _)) => run_here(node, call, back, key, None).await,
                 Err(AttemptError::Sent(sent, kind)) => Err(sent.refuse_unknown(kind)),
             }
         }
     }
 }
 
+/// Runs a request in a pool of this VM, or moves it to the new owner where this VM drains.
+async fn run_here(
+    node: &EntryNode,
+    call: &Call,
+    attempt: Attempt<Unsent>,
+    key: &PoolKey,
+    slot: Option<Permit>,
+) -> Result<Response<Body>, Refusal> {
+    let moves = node.state().accepts_work();
+    match run_in_pool(node, call, attempt, key, slot, moves).await {
+        Ok(response) => Ok(response),
+        Err(PoolExit::Refused(refusal)) => Err(refusal),
+        Err(PoolExit::Moved(attempt)) => move_to_owner(node, call, attempt, key).await,
+    }
+}
+
+/// Hands a request to the pool's new owner; it waits on here where there is none.
+async fn move_to_owner(
+    node: &EntryNode,
+    call: &Call,
+    mut attempt: Attempt<Unsent>,
+    key: &PoolKey,
+) -> Result<Response<Body>, Refusal> {
+    if let PoolOwner::Peer(peer) = node.pool_owner(key) {
+        node.ports().meter.count("drain.moved", 1);
+        let result = if peer.zone == node.vm().zone {
+            hand_off(node, call, attempt, &peer, key, None).await
+        } else {
+            move_to(node, call, attempt, &peer, key).await
+        };
+        attempt = match result {
+            Ok(response) => return Ok(response),
+            Err(AttemptError::NotSent(back, _)) => back,
+            Err(AttemptError::Sent(sent, kind)) => return Err(sent.refuse_unknown(kind)),
+        };
+    }
+    match run_in_pool(node, call, attempt, key, None, false).await {
+        Ok(response) => Ok(response),
+        Err(PoolExit::Refused(refusal)) => Err(refusal),
+        Err(PoolExit::Moved(attempt)) => Err(attempt.refuse_not_run(ErrorKind::Stopping)),
+    }
+}
+
 /// Where a request that waited can run.
 enum Place {
     Here(Result<Permit, AdmitError>),
+    NewOwner,
     There(Box<EntryVm>, PoolKey, RoomTicket),
 }
 
@@ -238,7 +285,7 @@
         return Err(attempt.refuse_not_run(ErrorKind::NoRoom));
     }
     let response = match lent {
-        Some(permit) => run_in_pool(node, call, attempt, key, Some(permit)).await?,
+        Some(permit) => run_here(node, call, attempt, key, Some(permit)).await?,
         None => run_or_move(node, call, attempt, key).await?,
     };
     let Some(link) = known.and_then(|vm| node.link_to(&vm.region)) else { return Ok(response) };
@@ -268,20 +315,15 @@
         let pacer = node.zones().pacer().clone();
         request = request.map(|body| pace_body(body, pacer, link, call.rule.urgency));
     }
-    let sending = node.ports().peers.hand_off(peer.addresses.handoff, request);
-    match timeout(call.time_left(), sending).await {
-        Ok(Ok(response)) => match again {
-            // The peer says that it ran nothing, so another zone may run the request.
-            Some(request) if has_no_room(&response) => {
-                Err(AttemptError::NotSent(Attempt::new(request), "refused by the peer".into()))
-            }
-            _ => Ok(response),
-        },
-        Ok(Err(SendError::NotSent { reason, request })) => {
-            Err(AttemptError::NotSent(Attempt::new(*request), reason))
+    let attempt = Attempt::new(request);
+    let sending = attempt.hand_off(&*node.ports().peers, peer.addresses.handoff, call.time_left());
+    let response = sending.await?.into_response();
+    match again {
+        // The peer says that it ran nothing, so another zone may run the request.
+        Some(request) if has_no_room(&response) => {
+            Err(AttemptError::NotSent(Attempt::new(request), "refused by the peer".into()))
         }
-        Ok(Err(SendError::Sent { .. })) => Err(Attempt::lost(ErrorKind::TargetFailed)),
-        Err(_) => Err(Attempt::lost(ErrorKind::DeadlinePassed)),
+        _ => Ok(response),
     }
 }
 
--- a/crates/steer/src/flows/run_entry.rs
+++ b/crates/steer/src/flows/run_entry.rs
@@ -1,14 +1,16 @@
 //! The life of an entry VM.
 
 use super::{
-    poll_targets, renew_room, renew_shares, tell_all, watch_roster, watch_settings, watch_vms,
+    poll_targets, renew_room, renew_shares, share_suspects, tell_all, watch_roster, watch_settings,
+    watch_vms,
 };
-use crate::{EntryNode, Joining, Stopped, Vm};
-use slog::info;
+use crate::{DrainSettings, Draining, EntryNode, Joining, Serving, Stopped, Vm};
+use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
 use tokio::{
+    sync::mpsc::Receiver,
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Time that peers get to be met before this VM serves.
@@ -16,11 +18,65 @@
 /// Time between two looks at what peers have.
 const JOIN_STEP: Duration = Duration::from_millis(20);
 
-/// Runs an entry VM until `stop` ends: joins, serves, then drains until the last answer.
+/// How an entry VM stops.
+///
+/// ```
+/// use std::time::Duration;
+/// use steer::StopRules;
+/// let rules = StopRules::default().limit(Duration::from_secs(60));
+/// assert_eq!(rules.limit.as_secs(), 60);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct StopRules {
+    /// Longest time for work under way; what is left then is cut.
+    pub limit: Duration,
+    /// Shortest time to go on for callers that cached an older look-up.
+    pub linger: Duration,
+}
+
+impl StopRules {
+    /// Sets the longest time for work under way.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let rules = steer::StopRules::default().limit(Duration::from_secs(5));
+    /// assert_eq!(rules.limit, Duration::from_secs(5));
+    /// ```
+    pub fn limit(mut self, limit: Duration) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets the shortest time to go on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// assert!(steer::StopRules::default().linger(Duration::ZERO).linger.is_zero());
+    /// ```
+    pub fn linger(mut self, linger: Duration) -> Self {
+        self.linger = linger;
+        self
+    }
+}
+
+impl Default for StopRules {
+    fn default() -> Self {
+        Self { limit: Duration::from_secs(3600), linger: EntryNode::LOOKUP_AGE }
+    }
+}
+
+/// Time between looks at the drains in the settings; maintenance windows open by the clock.
+const DRAIN_PERIOD: Duration = Duration::from_millis(500);
+
+/// Runs an entry VM until a first message on `stop`: joins, serves, then drains until the last
+/// answer. A second message, or the limit of the rules, cuts what is still under way.
+///
+/// While the settings drain the VM, it takes no work of its own and stays ready to serve again.
 pub async fn run_entry(
     node: Arc<EntryNode>,
     vm: Vm<Joining>,
-    stop: impl Future<Output = ()>,
+    mut stop: Receiver<()>,
+    rules: StopRules,
 ) -> Vm<Stopped> {
     let mut tasks = JoinSet::new();
     let watcher = Arc::clone(&node);
@@ -33,24 +89,116 @@
     tasks.spawn(async move { renew_shares(&renewer).await });
     let watcher = Arc::clone(&node);
     tasks.spawn(async move { watch_roster(&watcher).await });
+    let sharer = Arc::clone(&node);
+    tasks.spawn(async move { share_suspects(&sharer).await });
     let poller = Arc::clone(&node);
     tasks.spawn(async move { poll_targets(&poller).await });
 
-    wait_for_settings(&node).await;
+    tokio::select! {
+        () = wait_for_settings(&node) => {}
+        Some(()) = stop.recv() => {
+            info!(node.log(), "vm: stopped before it served"; "name" => %node.vm().name);
+            return vm.serve().drain().stop();
+        }
+    }
     let vm = vm.serve();
     info!(node.log(), "vm: serving"; "name" => %node.vm().name);
+    let vm = serve_until_stopped(&node, vm, &mut stop).await;
+    finish_and_stop(&node, vm, &mut stop, rules).await
+}
 
-    stop.await;
+/// Drains a serving VM and stops it: peers hear at once, queued requests move to the pools' new
+/// owners, and what runs finishes. A message on `stop`, or the limit of the rules, cuts the rest.
+pub async fn drain_and_stop(
+    node: &Arc<EntryNode>,
+    vm: Vm<Serving>,
+    stop: &mut Receiver<()>,
+    rules: StopRules,
+) -> Vm<Stopped> {
     let vm = vm.drain();
-    info!(node.log(), "vm: draining"; "requests" => node.work().len());
-    tell_all(&node).await;
-    node.work().close();
-    node.work().wait().await;
+    tell_all(node).await;
+    finish_and_stop(node, vm, stop, rules).await
+}
+
+async fn finish_and_stop(
+    node: &Arc<EntryNode>,
+    vm: Vm<Draining>,
+    stop: &mut Receiver<()>,
+    rules: StopRules,
+) -> Vm<Stopped> {
+    finish_work(node, stop, rules).await;
     let vm = vm.stop();
     info!(node.log(), "vm: stopped"; "name" => %node.vm().name);
     vm
 }
 
+/// Serves, with pauses while the settings drain this VM, until it is asked to stop.
+async fn serve_until_stopped(
+    node: &Arc<EntryNode>,
+    mut vm: Vm<Serving>,
+    stop: &mut Receiver<()>,
+) -> Vm<Draining> {
+    loop {
+        tokio::select! {
+            () = wait_for_drain(node, true) => {}
+            Some(()) = stop.recv() => {
+                let vm = vm.drain();
+                tell_all(node).await;
+                return vm;
+            }
+        }
+        let paused = vm.pause();
+        tell_all(node).await;
+        info!(node.log(), "vm: drained by the settings"; "requests" => node.work().len());
+        tokio::select! {
+            () = wait_for_drain(node, false) => {}
+            Some(()) = stop.recv() => return paused.drain(),
+        }
+        vm = paused.serve();
+        tell_all(node).await;
+        info!(node.log(), "vm: serving again");
+    }
+}
+
+/// Waits until the settings drain this VM, or no longer do.
+async fn wait_for_drain(node: &EntryNode, wanted: bool) {
+    let mut snapshot = node.watch_snapshot();
+    while is_drained(node) != wanted {
+        let changed = timeout(DRAIN_PERIOD, snapshot.changed()).await;
+        debug_assert!(!matches!(changed, Ok(Err(_))), "the node keeps the sender");
+    }
+}
+
+fn is_drained(node: &EntryNode) -> bool {
+    let (now, own) = (node.ports().clock.now(), &node.vm().name);
+    node.snapshot().drains(now).any(|d| matches!(d, DrainSettings::EntryVm(name) if name == own))
+}
+
+/// Waits for the last answer, a second message to stop, or the limit.
+async fn finish_work(node: &EntryNode, stop: &mut Receiver<()>, rules: StopRules) {
+    let start = Instant::now();
+    info!(node.log(), "vm: draining"; "requests" => node.work().len());
+    let finished = async {
+        sleep(rules.linger).await;
+        node.work().close();
+        node.work().wait().await;
+    };
+    let reason = tokio::select! {
+        () = finished => None,
+        Some(()) = stop.recv() => Some("second signal"),
+        () = sleep(rules.limit) => Some("limit reached"),
+    };
+    let meter = &node.ports().meter;
+    meter.time("drain", start.elapsed());
+    let Some(reason) = reason else { return };
+    let cut = node.under_way().counts();
+    meter.count("drain.cut", cut.values().sum::<usize>() as u64);
+    for (class, requests) in &cut {
+        warn!(node.log(), "vm: requests cut by the stop";
+            "class" => %class, "requests" => requests, "reason" => reason);
+    }
+}
+
 /// Waits until the fleet's settings are in force, and no peer is known to have newer ones. Where
 /// peers are named but none was met yet, they get a little time.
 async fn wait_for_settings(node: &EntryNode) {
--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -1,23 +1,41 @@
 //! Runs a request on a target of a pool that this VM owns.
 
-use super::{Attempt, AttemptError, Call, OUTCOME_HEADER, Refusal, Sent, Unsent};
+use super::{
+    Attempt, AttemptError, Call, OUTCOME_HEADER, Refusal, Sent, Unsent, send_guard::SendGuard,
+};
 use crate::{
     AdmitError, Body, EntryNode, ErrorKind, Outcome, Permit, PoolKey, RepeatRule, Replay,
-    TargetPool, Ticket, hold_until_end,
+    TargetPool, Ticket, VmState, hold_until_end,
 };
 use futures_util::future::{Either, select};
-use http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER};
+use http::{Response, StatusCode, header::RETRY_AFTER};
 use slog::warn;
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    future::pending,
+    pin::pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Most attempts for one request.
 const ATTEMPTS: usize = 3;
 
+/// How a request left a pool without an answer.
+#[derive(Debug)]
+pub(super) enum PoolExit {
+    /// This VM began to drain while the request waited for a slot.
+    Moved(Attempt<Unsent>),
+    /// The request is refused.
+    Refused(Refusal),
+}
+
 /// How an attempt on one target failed.
 enum Failure {
     /// Nothing was sent.
     NotSent(Attempt<Unsent>),
+    /// The request must not be sent; this is the answer.
+    Ended(Box<Result<Response<Body>, Refusal>>),
     /// The target says that it didn't run the request.
     Refused(Duration),
     /// The request may have run.
@@ -27,6 +45,8 @@
 /// A request on its way through a pool, with what a second attempt needs.
 struct Run<'a> {
     call: &'a Call,
+    /// Keeps the claim of a key from an attempt that did not use it to the next.
+    guard: Mutex<Option<SendGuard<'a>>>,
     node: &'a EntryNode,
     pool: Arc<TargetPool>,
     replay: Option<Replay>,
@@ -42,41 +62,55 @@
     attempt: Attempt<Unsent>,
     key: &PoolKey,
     mut slot: Option<Permit>,
-) -> Result<Response<Body>, Refusal> {
-    let (replay, mut attempt) = read_replay(call, attempt).await?;
+    moves: bool,
+) -> Result<Response<Body>, PoolExit> {
+    let (replay, mut attempt) = read_replay(call, attempt).await.map_err(PoolExit::Refused)?;
     let bodyless = replay.as_ref().is_some_and(Replay::is_bodyless);
     let ticket = call.ticket().bodyless(bodyless).whole(replay.is_some());
-    let mut run = Run { call, node, pool: node.pool(key), replay, ticket };
+    let guard = Mutex::default();
+    let mut run = Run { call, guard, node, pool: node.pool(key), replay, ticket };
     let mut lost: Option<(Attempt<Sent>, ErrorKind)> = None;
     for _ in 0..ATTEMPTS {
-        let permit = match slot.take() {
-            Some(mut permit) => {
-                permit.note_sending();
-                permit
+        let admitted = tokio::select! {
+            biased;
+            admitted = run.admit(slot.take()) => admitted,
+            () = draining(node), if moves && lost.is_none() => {
+                run.give_up().await;
+                return Err(PoolExit::Moved(attempt));
             }
-            None => match run.admit().await {
-                Ok(permit) => permit,
-                Err(error) => return Err(refuse(attempt, lost, error)),
-            },
+        };
+        let permit = match admitted {
+            Ok(permit) => permit,
+            Err(error) => return Err(run.refuse(attempt, lost, error).await),
         };
         run.ticket.avoid = Some(permit.target().clone());
         match run.send_hedged(attempt, permit).await {
             Ok(response) => return Ok(response),
+            Err(Failure::Ended(answer)) => {
+                return match lost {
+                    Some((sent, kind)) => Err(PoolExit::Refused(sent.refuse_unknown(kind))),
+                    None => answer.map_err(PoolExit::Refused),
+                };
+            }
             Err(Failure::NotSent(back)) => attempt = back,
             Err(Failure::Refused(pause)) => match run.retry() {
                 Some(again) => attempt = again,
-                None => return Err(refuse_for_target(lost, pause)),
+                None => {
+                    run.give_up().await;
+                    return Err(PoolExit::Refused(refuse_for_target(lost, pause)));
+                }
             },
             Err(Failure::Lost(sent, kind)) => match run.retry_lost(kind) {
                 Some(again) => {
                     attempt = again;
                     lost = Some((sent, kind));
                 }
-                None => return Err(sent.refuse_unknown(kind)),
+                None => return Err(PoolExit::Refused(sent.refuse_unknown(kind))),
             },
         }
     }
-    Err(refuse(attempt, lost, AdmitError::new(ErrorKind::NoRoom, Duration::ZERO)))
+    let error = AdmitError::new(ErrorKind::NoRoom, Duration::ZERO);
+    Err(run.refuse(attempt, lost, error).await)
 }
 
 /// Reads a small body whole, so that the request can be sent again.
@@ -116,12 +150,43 @@
     }
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
+    /// The guard that an attempt before left, or a new one.
+    fn take_guard(&self) -> SendGuard<'a> {
+        let mut kept = self.guard.lock().expect("no holder of the guard's lock panics");
+        kept.take().unwrap_or_else(|| SendGuard::new(self.node, self.call))
+    }
+
+    /// Keeps the guard of an attempt that sent nothing, or whose target did not run it.
+    fn keep(&self, mut guard: SendGuard<'a>) {
+        guard.not_sent();
+        *self.guard.lock().expect("no holder of the guard's lock panics") = Some(guard);
+    }
+
+    /// Releases the claim of a key that no attempt has used.
+    async fn give_up(&self) {
+        self.take_guard().give_up().await;
+    }
+
+    async fn refuse(
+        &self,
+        attempt: Attempt<Unsent>,
+        lost: Option<(Attempt<Sent>, ErrorKind)>,
+        error: AdmitError,
+    ) -> PoolExit {
+        self.give_up().await;
+        PoolExit::Refused(refuse(attempt, lost, error))
+    }
+
     fn count(&self, name: &str) {
         self.node.ports().meter.count(name, 1);
     }
 
-    async fn admit(&self) -> Result<Permit, AdmitError> {
+    async fn admit(&self, slot: Option<Permit>) -> Result<Permit, AdmitError> {
+        if let Some(mut permit) = slot {
+            permit.note_sending();
+            return Ok(permit);
+        }
         let start = Instant::now();
         let result = self.pool.admit(&self.ticket).await;
         self.node.ports().meter.time("admission.wait", start.elapsed());
@@ -188,10 +253,16 @@
         mut permit: Permit,
     ) -> Result<Response<Body>, Failure> {
         let targets = &*self.node.ports().targets;
-        let sending = attempt.send(targets, permit.address(), self.call.time_left());
-        let response = match sending.await {
-            Ok(answered) => answered.into_response(),
+        let mut guard = self.take_guard();
+        let cleared = match guard.clear(attempt, permit.target()).await {
+            Ok(cleared) => cleared,
+            Err(answer) => return Err(Failure::Ended(Box::new(answer))),
+        };
+        let sending = cleared.send(targets, permit.address(), self.call.time_left());
+        let answered = match sending.await {
+            Ok(answered) => answered,
             Err(AttemptError::NotSent(back, reason)) => {
+                self.keep(guard);
                 permit.note_unreachable();
                 self.count("target.unreachable");
                 warn!(self.node.log(), "request: target can't be reached";
@@ -199,6 +270,7 @@
                 return Err(Failure::NotSent(back));
             }
             Err(AttemptError::Sent(sent, kind)) => {
+                let kind = guard.failed(kind);
                 if kind == ErrorKind::TargetFailed {
                     permit.note_unreachable();
                     self.count("target.failed");
@@ -206,13 +278,15 @@
                 return Err(Failure::Lost(sent, kind));
             }
         };
-        if let Some(pause) = refusal_pause(&response) {
+        if let Some(pause) = refusal_pause(answered.response()) {
+            self.keep(guard);
             permit.note_shed(pause);
             self.count("target.shed");
             return Err(Failure::Refused(pause.unwrap_or_default()));
         }
         permit.note_answer();
-        Ok(finish(response, permit))
+        let response = guard.answered(answered).await;
+        Ok(response.map(|body| hold_until_end(body, permit)))
     }
 }
 
@@ -223,7 +297,8 @@
             Failure::Lost(sent, kind)
         }
         (Failure::Refused(pause), _) | (_, Failure::Refused(pause)) => Failure::Refused(pause),
-        (a, _) => a,
+        (Failure::NotSent(back), _) | (_, Failure::NotSent(back)) => Failure::NotSent(back),
+        (ended, _) => ended,
     }
 }
 
@@ -239,10 +314,10 @@
     Some(asked.map(Duration::from_secs))
 }
 
-/// Marks the answer as run and keeps the slot until its last byte.
-fn finish(mut response: Response<Body>, permit: Permit) -> Response<Body> {
-    if !response.headers().contains_key(OUTCOME_HEADER) {
-        response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("ran"));
+/// Waits until this VM drains.
+pub(super) async fn draining(node: &EntryNode) {
+    let mut state = node.watch_state();
+    if state.wait_for(|s| *s == VmState::Draining).await.is_err() {
+        pending::<()>().await;
     }
-    response.map(|body| hold_until_end(body, permit))
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -26,6 +26,8 @@
 mod membership;
 mod names;
 mod node;
+mod once;
+mod poison;
 mod pool;
 mod ports;
 mod retry;
@@ -36,6 +38,6 @@
 
 pub use self::{
     admission::*, choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*,
-    membership::*, names::*, node::*, pool::*, ports::*, retry::*, routing::*, settings::*,
-    shares::*, shift::*,
+    membership::*, names::*, node::*, once::*, poison::*, pool::*, ports::*, retry::*, routing::*,
+    settings::*, shares::*, shift::*,
 };
--- a/crates/steer/src/membership/mod.rs
+++ b/crates/steer/src/membership/mod.rs
@@ -22,6 +22,6 @@
     membership_table::{MembershipTable, Sweep},
     peer_record::PeerRecord,
     rejection::Rejection,
-    vm::{Draining, Joining, Serving, Stopped, Vm},
+    vm::{Draining, Joining, Paused, Serving, Stopped, Vm},
     vm_state::VmState,
 };
--- a/crates/steer/src/node/entry_node.rs
+++ b/crates/steer/src/node/entry_node.rs
@@ -3,13 +3,15 @@
 use super::EntryPorts;
 use crate::{
     ClientBlock, EntryVm, Heartbeat, LookupAnswer, LookupBoard, LookupCandidate, LookupVm,
-    MemberWeights, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoolKey, PutError,
-    RegionName, Rejection, Settings, SettingsDocument, SettingsQuery, SettingsTree, Snapshot,
-    TalkState, TargetName, TargetPool, VmName, VmState, ZoneDesk, choose_owner, order_vms,
+    MemberWeights, MembershipTable, PeerMessage, PeerRecord, PeerReply, PoisonWatch, PoolKey,
+    PutError, RegionName, Rejection, Settings, SettingsDocument, SettingsQuery, SettingsTree,
+    Snapshot, TalkState, TargetName, TargetPool, UnderWay, VmName, VmState, ZoneDesk, choose_owner,
+    order_vms,
 };
 use slog::{Logger, info, warn};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -25,12 +27,14 @@
     log: Logger,
     lookups: LookupBoard,
     members: Mutex<MembershipTable>,
+    poison: PoisonWatch,
     pools: Mutex<BTreeMap<PoolKey, Arc<TargetPool>>>,
     ports: EntryPorts,
     snapshot: watch::Sender<Arc<Snapshot>>,
     state: watch::Receiver<VmState>,
     talk: TalkState,
     tree: Mutex<SettingsTree>,
+    under_way: Arc<UnderWay>,
     vm: EntryVm,
     work: TaskTracker,
     zones: ZoneDesk,
@@ -56,6 +60,7 @@
             log,
             lookups: LookupBoard::default(),
             members: Mutex::default(),
+            poison: PoisonWatch::new(),
             pools: Mutex::default(),
             ports,
             snapshot: watch::Sender::new(Arc::default()),
@@ -63,6 +68,7 @@
             talk: TalkState::default(),
             tree: Mutex::default(),
             zones: ZoneDesk::new(&vm),
+            under_way: Arc::default(),
             vm,
             work: TaskTracker::new(),
         }
@@ -110,6 +116,16 @@
         &self.work
     }
 
+    /// The requests under way, by class.
+    pub fn under_way(&self) -> &Arc<UnderWay> {
+        &self.under_way
+    }
+
+    /// The requests that ended targets.
+    pub fn poison(&self) -> &PoisonWatch {
+        &self.poison
+    }
+
     /// The state of this VM's life cycle.
     pub fn state(&self) -> VmState {
         *self.state.borrow()
@@ -268,6 +284,10 @@
             }
             PeerMessage::Lease(ask) => Ok(PeerReply::Lease(self.answer_lease(ask))),
             PeerMessage::Settings(query) => Ok(PeerReply::Settings(self.newer_settings(&query))),
+            PeerMessage::Suspects(suspects) => {
+                self.poison.hear(&suspects);
+                Ok(PeerReply::Suspects(self.poison.newest()))
+            }
         }
     }
 
@@ -283,6 +303,12 @@
         lock(&self.members).live(Instant::now()).cloned().collect()
     }
 
+    /// Addresses of peers that this VM speaks with, and of those in its availability zone.
+    pub fn close_peers(&self) -> Vec<SocketAddr> {
+        let is_close = |p: &PeerRecord| p.is_direct() || p.vm.zone == self.vm.zone;
+        self.peers().iter().filter(|p| is_close(p)).map(|p| p.vm.addresses.peers).collect()
+    }
+
     /// Versions in force, and refused versions with the reason.
     pub fn with_tree<T>(&self, read: impl FnOnce(&SettingsTree) -> T) -> T {
         read(&lock(&self.tree))
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -2,7 +2,8 @@
 
 use super::{Body, SendError};
 use crate::{
-    ControlUsage, EntryVm, LeaseAsk, LeaseGrant, PoolKey, SettingsPath, TargetName, VmName, VmState,
+    ControlUsage, EntryVm, LeaseAsk, LeaseGrant, PoolKey, SettingsPath, Suspect, TargetName,
+    VmName, VmState,
 };
 use async_trait::async_trait;
 use displaydoc::Display;
@@ -138,6 +139,8 @@
     Lease(LeaseAsk),
     /// Asks for newer settings.
     Settings(SettingsQuery),
+    /// Tells which requests ended targets; answered by what the receiver knows.
+    Suspects(Vec<Suspect>),
 }
 
 /// A peer's reply.
@@ -151,6 +154,8 @@
     Lease(LeaseGrant),
     /// Settings that the asker lacks.
     Settings(SettingsBatch),
+    /// Requests that ended targets.
+    Suspects(Vec<Suspect>),
 }
 
 /// Why a message to a peer got no reply.
--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -17,11 +17,11 @@
 };
 use steer::{
     Body, EntryNode, EntryPorts, EntryVm, GuardedPlatform, LoadError, LoadReport, NoMeter,
-    NoTracer, PlatformVm, SendError, SettingsPath, SystemClock, Targets, Vm, VmAddresses,
-    VmKindTag, VmState, run_entry,
+    NoTracer, PlatformVm, SendError, SettingsPath, StopRules, SystemClock, Targets, Vm,
+    VmAddresses, VmKindTag, VmState, run_entry,
 };
 use tokio::{
-    sync::Notify,
+    sync::{Notify, mpsc},
     task::JoinHandle,
     time::{Instant, sleep},
 };
@@ -138,7 +138,13 @@
         let (n, s) = (Arc::clone(&node), Arc::clone(&stop));
         let network = Arc::clone(&self.network);
         let task = tokio::spawn(async move {
-            run_entry(Arc::clone(&n), life, async move { s.notified().await }).await;
+            let (tell, signals) = mpsc::channel(1);
+            tokio::spawn(async move {
+                s.notified().await;
+                tell.send(()).await.unwrap();
+            });
+            let rules = StopRules::default().linger(Duration::ZERO);
+            run_entry(Arc::clone(&n), life, signals, rules).await;
             network.nodes.lock().unwrap().retain(|_, held| !Arc::ptr_eq(held, &n));
         });
         self.vms.insert(number, Running { node, stop, task });
