Lend less, claim keys before slots, and spread callers over look-ups

Each waiting request asked all zones every 20 ms and each ask counted as demand, so zones lent each other all their slots and held them idle; a payout held its slot while the platform recorded its key; all callers of a region of the lab asked for one client block, and so met on two entry VMs. Change: an owner keeps a quarter of its slots and lends half of the rest; only a request that leaves counts as demand; at most four slots are held ahead; only interactive work moves, and only if the own wait is longer than two round trips; a key is claimed before its request queues; the lab's callers stand in 32 blocks a region.

--- a/crates/lab/src/callers/exchange.rs
+++ b/crates/lab/src/callers/exchange.rs
@@ -102,8 +102,9 @@
         attempt: u32,
         mut request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        let list = self.lookups.list(arrival.region).await;
-        let turn = arrival.id as usize + attempt as usize;
+        let block = (arrival.id % u64::from(LookupCache::BLOCKS)) as u8;
+        let list = self.lookups.list(arrival.region, block).await;
+        let turn = arrival.id as usize / usize::from(LookupCache::BLOCKS) + attempt as usize;
         for vm in in_turn(&list, turn) {
             match self.pool.send(vm, request).await {
                 Err(SendError::NotSent { request: back, .. }) => request = *back,
--- a/crates/lab/src/callers/lookup_cache.rs
+++ b/crates/lab/src/callers/lookup_cache.rs
@@ -34,7 +34,7 @@
 pub struct LookupCache {
     /// Addresses that callers know from the beginning, which may be out of date.
     bootstrap: Vec<SocketAddr>,
-    lists: Mutex<BTreeMap<usize, (Instant, Vec<SocketAddr>)>>,
+    lists: Mutex<BTreeMap<(usize, u8), (Instant, Vec<SocketAddr>)>>,
     pool: Arc<ConnectionPool>,
 }
 
@@ -44,19 +44,23 @@
         Self { bootstrap, lists: Mutex::default(), pool }
     }
 
-    /// The list for a region: from the cache, or from any entry VM that answers; an old list is
-    /// used where none does.
-    pub async fn list(&self, region: usize) -> Vec<SocketAddr> {
-        let held = self.lists.lock().expect("no holder of the lists panics").get(&region).cloned();
+    /// Client blocks of each region, each with a cached answer of its own.
+    pub const BLOCKS: u8 = 32;
+
+    /// The list for a block of a region: from the cache, or from any entry VM that answers; an
+    /// old list is used where none does.
+    pub async fn list(&self, region: usize, block: u8) -> Vec<SocketAddr> {
+        let key = (region, block);
+        let held = self.lists.lock().expect("no holder of the lists panics").get(&key).cloned();
         let old = match held {
             Some((until, list)) if until > Instant::now() => return list,
             Some((_, list)) => list,
             None => Vec::new(),
         };
         for vm in old.iter().chain(&self.bootstrap) {
-            if let Some((age, list)) = self.ask(*vm, region).await {
+            if let Some((age, list)) = self.ask(*vm, region, block).await {
                 let mut lists = self.lists.lock().expect("no holder of the lists panics");
-                lists.insert(region, (Instant::now() + age, list.clone()));
+                lists.insert(key, (Instant::now() + age, list.clone()));
                 return list;
             }
         }
@@ -64,8 +68,13 @@
     }
 
     /// Asks one entry VM; `None` where it doesn't answer or names no VM.
-    pub async fn ask(&self, vm: SocketAddr, region: usize) -> Option<(Duration, Vec<SocketAddr>)> {
-        let block = format!("10.{}.0.0/16", region + 1);
+    pub async fn ask(
+        &self,
+        vm: SocketAddr,
+        region: usize,
+        block: u8,
+    ) -> Option<(Duration, Vec<SocketAddr>)> {
+        let block = format!("10.{}.{block}.0/24", region + 1);
         let request = Request::get(format!("{LOOKUP_PATH}?block={block}"))
             .header(HOST, vm.to_string())
             .body(empty_body())
--- a/crates/steer/src/flows/borrow_room.rs
+++ b/crates/steer/src/flows/borrow_room.rs
@@ -27,7 +27,6 @@
     key: &PoolKey,
     owner: &EntryVm,
 ) -> Option<RoomTicket> {
-    node.zones().room().note_demand(key, Instant::now());
     if let Some(ticket) = take_at_hand(node, key, owner) {
         return Some(ticket);
     }
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -8,11 +8,11 @@
 };
 use crate::{
     AdmitError, Body, EntryNode, EntryVm, ErrorKind, Outcome, Permit, PoolKey, PoolOwner,
-    RegionName, RoomTicket, VmName, empty_body, pace_body,
+    RegionName, RepeatRule, RoomTicket, Urgency, VmName, empty_body, pace_body,
 };
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body::Body as _;
-use std::time::Duration;
+use std::{future::pending, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Header with the number of the lease in whose slot a request runs.
@@ -109,6 +109,11 @@
     key: &PoolKey,
 ) -> Result<Response<Body>, Refusal> {
     let pool = node.pool(key);
+    let room = pool.room();
+    if call.rule.repeat == RepeatRule::AtMostOnce && room.queued < room.slots {
+        // Its key is claimed before it takes a slot, and a claim can't move to another zone.
+        return run_here(node, call, attempt, key, None).await;
+    }
     let bodyless = attempt.is_bodyless();
     let ticket = call.ticket().bodyless(bodyless).whole(bodyless);
     let moves = node.state().accepts_work();
@@ -148,6 +153,7 @@
     let moves = node.state().accepts_work();
     match run_in_pool(node, call, attempt, key, slot, moves).await {
         Ok(response) => Ok(response),
+        Err(PoolExit::Answered(response)) => Ok(*response),
         Err(PoolExit::Refused(refusal)) => Err(refusal),
         Err(PoolExit::Moved(attempt)) => move_to_owner(node, call, attempt, key).await,
     }
@@ -175,6 +181,7 @@
     }
     match run_in_pool(node, call, attempt, key, None, false).await {
         Ok(response) => Ok(response),
+        Err(PoolExit::Answered(response)) => Ok(*response),
         Err(PoolExit::Refused(refusal)) => Err(refusal),
         Err(PoolExit::Moved(attempt)) => Err(attempt.refuse_not_run(ErrorKind::Stopping)),
     }
@@ -187,8 +194,12 @@
     There(Box<EntryVm>, PoolKey, RoomTicket),
 }
 
-/// Looks again and again for a slot of a zone that is nearer than the end of the queue.
+/// Looks again and again for a slot of a zone that is nearer than the end of the queue. Only
+/// urgent work moves; the rest waits for the zone's own slots.
 async fn look_elsewhere(node: &EntryNode, call: &Call, key: &PoolKey) -> Place {
+    if call.rule.urgency != Urgency::Interactive {
+        return pending().await;
+    }
     let own = &node.vm().region;
     loop {
         let plan = node.plan_route(call, own);
@@ -233,6 +244,7 @@
 ) -> Result<Response<Body>, AttemptError> {
     let shift = node.shift_to(call, &peer.region);
     let start = Instant::now();
+    node.zones().room().note_demand(key, start);
     if let Some(shift) = &shift
         && node.zones().shares().take(shift, 1, start).is_err()
     {
--- a/crates/steer/src/flows/run_in_pool.rs
+++ b/crates/steer/src/flows/run_in_pool.rs
@@ -24,6 +24,8 @@
 /// How a request left a pool without an answer.
 #[derive(Debug)]
 pub(super) enum PoolExit {
+    /// The record of its key answers the request.
+    Answered(Box<Response<Body>>),
     /// This VM began to drain while the request waited for a slot.
     Moved(Attempt<Unsent>),
     /// The request is refused.
@@ -69,6 +71,9 @@
     let ticket = call.ticket().bodyless(bodyless).whole(replay.is_some());
     let guard = Mutex::default();
     let mut run = Run { call, guard, node, pool: node.pool(key), replay, ticket };
+    if slot.is_none() {
+        attempt = run.prepare(attempt).await?;
+    }
     let mut lost: Option<(Attempt<Sent>, ErrorKind)> = None;
     for _ in 0..ATTEMPTS {
         let admitted = tokio::select! {
@@ -163,6 +168,22 @@
         *self.guard.lock().expect("no holder of the guard's lock panics") = Some(guard);
     }
 
+    /// Claims the key of a request that runs at most once before it waits for a slot, so that no
+    /// slot is held while the platform answers.
+    async fn prepare(&self, attempt: Attempt<Unsent>) -> Result<Attempt<Unsent>, PoolExit> {
+        let mut guard = self.take_guard();
+        match guard.prepare(attempt).await {
+            Ok(attempt) => {
+                self.keep(guard);
+                Ok(attempt)
+            }
+            Err(answer) => answer.map_or_else(
+                |refusal| Err(PoolExit::Refused(refusal)),
+                |response| Err(PoolExit::Answered(Box::new(response))),
+            ),
+        }
+    }
+
     /// Releases the claim of a key that no attempt has used.
     async fn give_up(&self) {
         self.take_guard().give_up().await;
--- a/crates/steer/src/flows/send_guard.rs
+++ b/crates/steer/src/flows/send_guard.rs
@@ -80,6 +80,25 @@
         Ok(attempt.clear(pass))
     }
 
+    /// Claims the key of a request that runs at most once while no slot is held for it, or gives
+    /// the answer where the request must not be sent.
+    pub(super) async fn prepare(
+        &mut self,
+        attempt: Attempt<Unsent>,
+    ) -> Result<Attempt<Unsent>, Result<Response<Body>, Refusal>> {
+        if SendPass::repeatable(self.call.rule.repeat).is_some() {
+            return Ok(attempt);
+        }
+        match self.claim_first().await {
+            Ok(key) => {
+                self.held = Held::Claimed(key);
+                Ok(attempt)
+            }
+            Err(Ok(known)) => Err(known_answer(known)),
+            Err(Err(kind)) => Err(Err(attempt.refuse_not_run(kind))),
+        }
+    }
+
     /// Claims the key, or confirms the claim that an attempt before left unused.
     async fn claim(&mut self) -> Result<OnceKey<Claimed>, Result<KeyState, ErrorKind>> {
         let key = match mem::replace(&mut self.held, Held::Nothing) {
--- a/crates/steer/src/routing/lent_slots.rs
+++ b/crates/steer/src/routing/lent_slots.rs
@@ -22,25 +22,31 @@
 }
 
 impl LentSlots {
+    /// One in so many slots stays free for the zone's own bursts.
+    pub const RESERVE_PART: u32 = 4;
+
     /// Makes a ledger with nothing lent. The numbers of leases begin at the VM's incarnation, so
     /// that a replacement never takes a lease of its predecessor for its own.
     pub fn new(incarnation: u64) -> Self {
         Self { lent: BTreeMap::new(), next: incarnation, owned: BTreeMap::new() }
     }
 
-    /// How many slots of a pool may be lent at once to one asker.
+    /// How many slots of a pool may be lent at once to one asker: half of what is free above a
+    /// reserve of a quarter, which the zone's own bursts need.
     ///
     /// ```
     /// use steer::{LentSlots, PoolRoom};
-    /// let room = PoolRoom { free: 10, queued: 0, slots: 36 };
-    /// assert_eq!(LentSlots::spare(room), 5);
+    /// let room = PoolRoom { free: 15, queued: 0, slots: 36 };
+    /// assert_eq!(LentSlots::spare(room), 3);
+    /// assert_eq!(LentSlots::spare(PoolRoom { free: 9, ..room }), 0);
     /// assert_eq!(LentSlots::spare(PoolRoom { queued: 1, ..room }), 0);
     /// ```
     pub fn spare(room: PoolRoom) -> u32 {
         if room.queued > 0 {
             return 0;
         }
-        room.free.div_ceil(2)
+        let reserve = room.slots.div_ceil(Self::RESERVE_PART);
+        room.free.saturating_sub(reserve).div_ceil(2)
     }
 
     /// Notes whether this VM owns a pool, and tells whether it may lend: a new owner waits until
--- a/crates/steer/src/routing/room_desk.rs
+++ b/crates/steer/src/routing/room_desk.rs
@@ -29,7 +29,7 @@
 
 impl RoomDesk {
     /// Most slots of one pool that a VM holds ahead of its demand.
-    pub const MOST_AHEAD: u64 = 32;
+    pub const MOST_AHEAD: u64 = 4;
     /// Time for which an owner that had no room is not asked again.
     pub const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
@@ -105,8 +105,8 @@
     pub fn want(&mut self, key: &PoolKey, round_trip: Duration, now: Instant) -> u64 {
         let at_hand = self.at_hand(key, now);
         let shelf = self.shelf(key);
-        let ahead = (shelf.demand.used(now) as f64 * round_trip.as_secs_f64()).ceil() as u64;
-        (ahead + shelf.waiting).min(Self::MOST_AHEAD).saturating_sub(at_hand)
+        let ahead = (shelf.demand.used(now) as f64 * round_trip.as_secs_f64()).round() as u64;
+        (ahead.min(Self::MOST_AHEAD) + shelf.waiting).saturating_sub(at_hand)
     }
 
     /// Pools that this VM holds slots of, or has sent requests to in the last second.
--- a/crates/steer/src/routing/zone_plan.rs
+++ b/crates/steer/src/routing/zone_plan.rs
@@ -46,7 +46,8 @@
 }
 
 /// Orders zones for a request: those of the wanted region first, then the own zone while its
-/// wait is shorter than the way to another and back, then zones that had room, nearest first.
+/// wait is shorter than the way to another and back twice, once for the grant and once for the
+/// request, then zones that had room, nearest first.
 ///
 /// The room of other zones is out of date, so zones at the same distance are drawn at random by
 /// their free slots; many VMs that see the same digest then don't all ask the same zone.
@@ -69,7 +70,7 @@
     let own_wait = own.map_or(Duration::MAX, |view| view.wait(service));
     let own_wanted = own.is_some_and(|view| view.wanted);
     let (before, after): (Vec<_>, Vec<_>) = keyed.into_iter().partition(|(_, delay, _, view)| {
-        let nearer = *delay * 2 < own_wait;
+        let nearer = *delay * 4 < own_wait;
         nearer || (view.wanted && !own_wanted)
     });
     let names = |list: Vec<(bool, Duration, f64, ZoneView)>| list.into_iter().map(|k| k.3.zone);
