--- a/crates/lab/src/callers/lookup_cache.rs
+++ b/crates/lab/src/callers/lookup_cache.rs
@@ -29,12 +29,15 @@
     address: SocketAddr,
 }
 
+/// Entry VMs with the time until which they are used, by region and block.
+type Lists = BTreeMap<(usize, u8), (Instant, Vec<SocketAddr>)>;
+
 /// The entry VMs that each caller region uses now.
 #[derive(Debug)]
 pub struct LookupCache {
     /// Addresses that callers know from the beginning, which may be out of date.
     bootstrap: Vec<SocketAddr>,
-    lists: Mutex<BTreeMap<(usize, u8), (Instant, Vec<SocketAddr>)>>,
+    lists: Mutex<Lists>,
     pool: Arc<ConnectionPool>,
 }
 
