Show what a VM really moves for a shift, and idle fleet drains

Cause: status and explain showed a shift's share by its ramp, also while the shift was paused; explain took shares and shifts of the block's home though routing takes those of the region where the request arrives; a fleet drain of a target that no team has did nothing and nobody was told. Change: both show the VM's own share, phase, cap and use of each shift that leaves its region; explain reads the region of arrival; limited documents include the fleet's for such drains, once all teams are there. The page's test now also holds the fields read of a shift's live part.

Conclusion: the order of zones in explain is still by distance alone.

--- a/crates/adapters/src/operators/explain_view.rs
+++ b/crates/adapters/src/operators/explain_view.rs
@@ -1,6 +1,6 @@
 //! An explanation as operators get it.
 
-use super::{RoomView, status_view::to_millis};
+use super::{LiveShift, RoomView, status_view::to_millis};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr};
 use steer::{ClassReason, DrainSettings, Explanation, ShiftReason, ZoneReason};
@@ -31,12 +31,14 @@
     pub urgency: steer::Urgency,
 }
 
-/// A shift that leaves the home region.
+/// A shift that leaves the region where the request arrives.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ExplainedShift {
     /// Most requests a second that it moves.
     pub cap: u32,
-    /// Share that the ramp moves by now.
+    /// What the answering VM does for it; `None` where the request arrives in another region.
+    pub live: Option<LiveShift>,
+    /// Share that the ramp moves by now if nothing holds it up.
     pub now: f64,
     /// Share that it moves in the end.
     pub share: f64,
@@ -80,11 +82,13 @@
     pub home: String,
     /// Prefix in the settings that gave the home region.
     pub prefix: Option<String>,
+    /// Region where the request arrives; its shares and shifts count.
+    pub region: String,
     /// The service.
     pub service: String,
     /// Shares of the home region's traffic by region.
     pub shares: BTreeMap<String, f64>,
-    /// Shifts that leave the home region.
+    /// Shifts that leave the arrival region.
     pub shifts: Vec<ExplainedShift>,
     /// Team that owns the service.
     pub team: String,
@@ -108,6 +112,7 @@
             classes: e.classes.iter().map(to_class).collect(),
             home: e.home.region.to_string(),
             prefix: e.home.prefix.map(|prefix| prefix.to_string()),
+            region: e.region.to_string(),
             service: e.service.to_string(),
             shares: e.shares.iter().map(|(region, s)| (region.to_string(), *s)).collect(),
             shifts: e.shifts.iter().map(to_shift).collect(),
@@ -129,8 +134,14 @@
 }
 
 fn to_shift(reason: &ShiftReason) -> ExplainedShift {
-    let ShiftReason { now, shift } = reason;
-    ExplainedShift { cap: shift.cap, now: *now, share: shift.share, to: shift.to.to_string() }
+    let ShiftReason { live, now, shift } = reason;
+    ExplainedShift {
+        cap: shift.cap,
+        live: live.as_ref().map(LiveShift::from),
+        now: *now,
+        share: shift.share,
+        to: shift.to.to_string(),
+    }
 }
 
 fn to_zone(reason: &ZoneReason, explanation: &Explanation) -> ExplainedZone {
--- a/crates/adapters/src/operators/mod.rs
+++ b/crates/adapters/src/operators/mod.rs
@@ -10,7 +10,7 @@
     operator_client::{OperatorClient, OperatorError},
     operator_front::answer_operator,
     status_view::{
-        ControlView, KnowledgeView, ProblemsView, RoomView, ShareView, ShiftView, StatusView,
-        VmView,
+        ControlView, KnowledgeView, LiveShift, ProblemsView, RoomView, ShareView, ShiftView,
+        StatusView, VmView,
     },
 };
--- a/crates/adapters/src/operators/status_view.rs
+++ b/crates/adapters/src/operators/status_view.rs
@@ -8,7 +8,7 @@
 };
 use steer::{
     ControlPart, DrainSettings, EntryNode, EntryVm, Maintenance, PartUsage, PoolKey, Problem,
-    SettingsPath, ShiftSettings, Snapshot, VmState,
+    SettingsPath, ShiftSettings, ShiftStatus, Snapshot, VmState,
 };
 use tokio::time::Instant;
 
@@ -70,13 +70,35 @@
 /// A traffic shift and how far it is.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ShiftView {
-    /// Share that the ramp moves by now, from 0 to 1.
+    /// What the answering VM does for it; `None` where it leaves another region.
+    pub live: Option<LiveShift>,
+    /// Share that the ramp moves by now if nothing holds it up, from 0 to 1.
     pub now: f64,
     /// The shift as set.
     #[serde(flatten)]
     pub set: ShiftSettings,
 }
 
+/// What the answering VM does for a shift now.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LiveShift {
+    /// Most requests a second that the VM may move.
+    pub cap: u64,
+    /// Share of the region's traffic that moves now, from 0 to 1.
+    pub moving: f64,
+    /// Where the shift stands, and what holds it up.
+    pub phase: String,
+    /// Requests that the VM moved in the last second.
+    pub used: u64,
+}
+
+impl From<&ShiftStatus> for LiveShift {
+    fn from(status: &ShiftStatus) -> Self {
+        let ShiftStatus { cap, moving, phase, used, .. } = status;
+        Self { cap: *cap, moving: *moving, phase: phase.to_string(), used: *used }
+    }
+}
+
 /// A share of a home region's traffic.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ShareView {
@@ -166,7 +188,13 @@
                 tree.waiting().map(to_text).collect(),
             )
         });
-        let shift = |set: &ShiftSettings| ShiftView { now: set.share_at(now), set: set.clone() };
+        let live = node.shift_statuses();
+        let shift = |set: &ShiftSettings| {
+            let is_same =
+                |s: &&ShiftStatus| s.service == set.service && s.from == set.from && s.to == set.to;
+            let live = live.iter().find(is_same).map(LiveShift::from);
+            ShiftView { live, now: set.share_at(now), set: set.clone() }
+        };
         let mut regions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
         for (zone, region) in snapshot.zones() {
             regions.entry(region.to_string()).or_default().insert(zone.to_string());
--- a/crates/ragwortswitch/src/commands/explain.rs
+++ b/crates/ragwortswitch/src/commands/explain.rs
@@ -1,6 +1,6 @@
 //! `ragwortswitch explain`: where a request would go, and why.
 
-use super::status::drain_text;
+use super::status::{drain_text, live_text};
 use crate::{
     arguments::{Argument, Common, Usage, unexpected_value, unknown_option},
     report::Report,
@@ -109,15 +109,19 @@
 fn describe_shares(view: &ExplainView) -> String {
     let mut text = String::new();
     for (region, share) in &view.shares {
-        let _ = writeln!(text, "Share of {} served in {region}: {:.1}%.", view.home, share * 100.0);
+        let _ =
+            writeln!(text, "Share of {} served in {region}: {:.1}%.", view.region, share * 100.0);
     }
     for shift in &view.shifts {
         let (now, end) = (shift.now * 100.0, shift.share * 100.0);
         let line = format!(
-            "Shift to {}: {now:.1}% now, {end:.1}% in the end, at most {} requests a second.",
+            "Shift to {}: {now:.1}% by its ramp, {end:.1}% in the end, at most {} requests a second.",
             shift.to, shift.cap
         );
         text += &wrap_text(&line, "");
+        if let Some(live) = &shift.live {
+            text += &wrap_text(&live_text(live), "  ");
+        }
     }
     if text.is_empty() { "No shares and shifts are set for it.\n".to_owned() } else { text }
 }
--- a/crates/ragwortswitch/src/commands/status.rs
+++ b/crates/ragwortswitch/src/commands/status.rs
@@ -5,7 +5,7 @@
     report::Report,
     text_table::{text_table, wrap_text},
 };
-use adapters::{ConnectionPool, OperatorClient, OperatorError, StatusView, VmView};
+use adapters::{ConnectionPool, LiveShift, OperatorClient, OperatorError, StatusView, VmView};
 use lexopt::Parser;
 use serde_json::json;
 use std::{collections::BTreeMap, error::Error, fmt::Write};
@@ -120,6 +120,12 @@
     }
 }
 
+/// What a VM does for a shift, in words.
+pub(crate) fn live_text(live: &LiveShift) -> String {
+    let LiveShift { cap, moving, phase, used } = live;
+    format!("this VM moves {} ({phase}), {used} of its {cap} requests a second", percent(*moving))
+}
+
 fn describe(status: &StatusView) -> String {
     let mut text =
         format!("Fleet {} as {} sees it, digest {}\n", status.fleet, status.vm, status.digest);
@@ -178,8 +184,13 @@
         let shares = [percent(shift.now), percent(set.share), set.cap.to_string()];
         cells.into_iter().chain(shares).collect()
     });
-    let head = ["service", "from", "to", "now", "end", "cap/s"];
+    let head = ["service", "from", "to", "by ramp", "end", "cap/s"];
     text += &section("Shifts", &head, &shifts.collect::<Vec<_>>());
+    for shift in &status.shifts {
+        let Some(live) = &shift.live else { continue };
+        let line = format!("{} to {}: {}", shift.set.service, shift.set.to, live_text(live));
+        text += &wrap_text(&line, "  ");
+    }
     let drains = status.drains.iter().map(|drain| vec![drain_text(drain)]);
     text += &section("Drains", &["what"], &drains.collect::<Vec<_>>());
     let windows = status.maintenance.iter().map(|window| {
--- a/crates/ragwortswitch/tests/operators.rs
+++ b/crates/ragwortswitch/tests/operators.rs
@@ -87,8 +87,8 @@
 
 /// Names after a dot in the page's script, of the variables that hold parts of the status.
 fn fields_read(page: &str) -> BTreeSet<String> {
-    const HOLDERS: [&str; 9] =
-        ["known", "pool", "share", "shift", "status", "use", "view", "vm", "window"];
+    const HOLDERS: [&str; 10] =
+        ["known", "live", "pool", "share", "shift", "status", "use", "view", "vm", "window"];
     let mut fields = BTreeSet::new();
     for holder in HOLDERS {
         for (start, _) in page.match_indices(&format!("{holder}.")) {
@@ -121,6 +121,7 @@
         let (holder, name) = field.split_once('.').unwrap();
         let held = match holder {
             "known" => status["knowledge"].clone(),
+            "live" => first(&status["shifts"])["live"].clone(),
             "pool" => first(&status["room"]),
             "share" => first(&status["shares"]),
             "shift" => first(&status["shifts"]),
--- a/crates/steer/src/explain/explain_request.rs
+++ b/crates/steer/src/explain/explain_request.rs
@@ -5,7 +5,8 @@
 };
 use crate::{
     AvailabilityZoneName, ClassName, ClientBlock, DrainSettings, EntryNode, LookupVm, PoolKey,
-    PoolOwner, PoolRoom, Service, ServiceName, Snapshot, VmName, nearest_name, order_zones,
+    PoolOwner, PoolRoom, Service, ServiceName, ShiftStatus, Snapshot, VmName, nearest_name,
+    order_zones,
 };
 use jiff::Timestamp;
 use std::{
@@ -56,12 +57,13 @@
     })?;
     let home = find_home(snapshot, &query.block, here)?;
     let arrival = vms.first().map_or(here, |vm| &vm.zone).clone();
-    let shares = service.settings.shares.get(&home.region).into_iter().flatten();
+    let region = snapshot.region_of(&arrival).ok_or(ExplainError::NoSettings)?.clone();
+    let shares = service.settings.shares.get(&region).into_iter().flatten();
     let shifts = snapshot
         .shifts()
         .iter()
-        .filter(|s| s.service == service.name && s.from == home.region)
-        .map(|s| ShiftReason { now: s.share_at(now), shift: s.clone() });
+        .filter(|s| s.service == service.name && s.from == region)
+        .map(|s| ShiftReason { live: None, now: s.share_at(now), shift: s.clone() });
     Ok(Explanation {
         block: query.block,
         classes: find_classes(service, query.class.as_ref())?,
@@ -73,6 +75,7 @@
         zones: find_zones(snapshot, service, &arrival, pools, now),
         arrival,
         home,
+        region,
     })
 }
 
@@ -213,6 +216,15 @@
     pub fn explain(&self, query: &ExplainQuery) -> Result<Explanation, ExplainError> {
         let vms = self.look_up(&query.block).vms;
         let (pools, now) = (self.known_pools(), self.ports().clock.now());
-        explain_request(&self.snapshot(), query, vms, &self.vm().zone, &pools, now)
+        let here = &self.vm().zone;
+        let mut explanation = explain_request(&self.snapshot(), query, vms, here, &pools, now)?;
+        let live = self.shift_statuses();
+        for reason in &mut explanation.shifts {
+            let set = &reason.shift;
+            let is_same =
+                |s: &&ShiftStatus| s.service == set.service && s.from == set.from && s.to == set.to;
+            reason.live = live.iter().find(is_same).cloned();
+        }
+        Ok(explanation)
     }
 }
--- a/crates/steer/src/explain/explanation.rs
+++ b/crates/steer/src/explain/explanation.rs
@@ -3,7 +3,7 @@
 use super::KnownPool;
 use crate::{
     AvailabilityZoneName, ClassName, ClientBlock, DrainSettings, LookupVm, RegionName, RepeatRule,
-    ServiceName, ShiftSettings, TeamName, Urgency,
+    ServiceName, ShiftSettings, ShiftStatus, TeamName, Urgency,
 };
 use derive_more::Display;
 
@@ -32,10 +32,12 @@
     pub urgency: Urgency,
 }
 
-/// A shift that touches the home region.
+/// A shift that leaves the region where the request arrives.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShiftReason {
-    /// Share of the home region's traffic that the ramp moves by now, from 0 to 1.
+    /// What the answering VM does for it now; `None` where the request arrives in another region.
+    pub live: Option<ShiftStatus>,
+    /// Share of the region's traffic that the ramp moves by now if nothing holds it up, from 0 to 1.
     pub now: f64,
     /// The shift.
     pub shift: ShiftSettings,
@@ -93,11 +95,13 @@
     pub classes: Vec<ClassReason>,
     /// The home region of the block.
     pub home: HomeReason,
+    /// Region where the request arrives; its shares and shifts count, also where it isn't the home.
+    pub region: RegionName,
     /// The service.
     pub service: ServiceName,
-    /// Shares of the home region's traffic that regions serve, as set.
+    /// Shares of the arrival region's traffic that regions serve, as set.
     pub shares: Vec<(RegionName, f64)>,
-    /// Shifts that leave the home region.
+    /// Shifts that leave the arrival region.
     pub shifts: Vec<ShiftReason>,
     /// Team that owns the service.
     pub team: TeamName,
--- a/crates/steer/src/settings/settings_tree.rs
+++ b/crates/steer/src/settings/settings_tree.rs
@@ -1,11 +1,12 @@
 //! All documents in force.
 
 use super::{
-    Checked, Document, Findings, FleetDocument, InForce, Problem, Settings, SettingsPath, Snapshot,
-    TeamDocument,
+    Checked, Document, DrainSettings, Findings, FleetDocument, InForce, Problem, Settings,
+    SettingsPath, Snapshot, TeamDocument,
     bounds::{Bounds, Taken},
+    check_names::each_drain,
 };
-use crate::TeamName;
+use crate::{TargetName, TeamName};
 use displaydoc::Display;
 use std::{collections::BTreeMap, sync::Arc};
 use xxhash_rust::xxh3::Xxh3;
@@ -148,20 +149,40 @@
         teams
     }
 
-    /// Documents in force of which a part is left out, because the fleet's settings no longer
-    /// allow it.
+    /// Documents in force of which a part has no effect: what the fleet's settings no longer
+    /// allow a team, and the fleet's own drains of targets that no team has.
     pub fn limited(&self) -> Vec<(SettingsPath, u64, Vec<Problem>)> {
         let Some(fleet) = self.fleet() else { return Vec::new() };
-        self.limited_teams(fleet)
-            .into_iter()
-            .filter(|team| !team.findings.is_empty())
-            .map(|Limited { findings, settings, .. }| {
+        let teams = self.limited_teams(fleet);
+        let idle = self.find_idle_drains(fleet, &teams);
+        let own = self.documents.get(&SettingsPath::Fleet).map(|settings| (idle, settings));
+        own.into_iter()
+            .chain(teams.into_iter().map(|team| (team.findings, team.settings)))
+            .filter(|(findings, _)| !findings.is_empty())
+            .map(|(findings, settings)| {
                 let problems = findings.locate(settings.text());
                 (settings.path().clone(), settings.version(), problems)
             })
             .collect()
     }
 
+    /// Drains of the fleet's document that name a target which no team has. While a team's
+    /// document is missing, the target may be one of its own, so nothing is found.
+    fn find_idle_drains(&self, fleet: &FleetDocument, teams: &[Limited<'_>]) -> Findings {
+        let mut findings = Findings::default();
+        if fleet.teams.keys().any(|name| teams.iter().all(|team| team.team != name)) {
+            return findings;
+        }
+        let services = teams.iter().flat_map(|team| team.part.services.values());
+        let targets: Vec<&TargetName> = services.flat_map(|s| s.targets.keys()).collect();
+        for (place, drain) in each_drain(&fleet.drains, &fleet.maintenance) {
+            if let DrainSettings::Target(name) = drain {
+                findings.expect_known("target", name, &targets, &place);
+            }
+        }
+        findings
+    }
+
     /// Documents that wait for the fleet's settings, or for a change that lets them in.
     pub fn waiting(&self) -> impl Iterator<Item = (&SettingsPath, u64)> {
         self.waiting.iter().map(|(path, s)| (path, s.version()))
--- a/crates/steer/tests/settings_bounds.rs
+++ b/crates/steer/tests/settings_bounds.rs
@@ -116,3 +116,25 @@
     ];
     insta::assert_snapshot!(play(&steps));
 }
+
+#[test]
+fn a_fleet_drain_of_a_target_that_no_team_has_is_told_once_all_teams_are_there() {
+    let drains = |now: &str, planned: &str| {
+        let text = fleet("\"x\"", "\"y\"", 9, "\"n-a\"");
+        let window = r#""from": "2026-01-01T00:00:00Z", "until": "2026-01-01T01:00:00Z""#;
+        let start = text.rfind('}').unwrap();
+        format!(
+            r#"{}, "drains": [{{ "target": "{now}" }}],
+  "maintenance": [{{ "drain": {{ "target": "{planned}" }}, {window} }}] }}"#,
+            &text[..start]
+        )
+    };
+    insta::assert_snapshot!(play(&[
+        ("fleet", 1, drains("x-2", "yy-1")),
+        ("teams/a", 2, team("x", "x.example", "x-1", 5)),
+        ("teams/b", 3, team("y", "y.example", "yy-1", 5)),
+        ("fleet", 4, drains("x-1", "yy-2")),
+        ("teams/b", 5, team("y", "y.example", "yy-2", 5)),
+        ("teams/a", 6, "{ \"services\": {} }".to_owned()),
+    ]));
+}
