Give back idle leases, and claim keys while requests queue

Cause: with three slots a target, payouts queued at 80% load. Load reports lag by a second, so a burst that was over counted as foreign work; a lent slot that its asker no longer needed stayed idle for two seconds; with a queue as long as the slots, claims were made while a slot was held, which made the queue longer. Change: foreign work counts only if four reports in a row show it; slots that no request waits for go back at the next look; keys are claimed before their requests queue up to four requests a slot.

--- a/crates/steer/src/choice/load_correction.rs
+++ b/crates/steer/src/choice/load_correction.rs
@@ -7,7 +7,8 @@
 /// Corrects own counts by a target's load report, which lags and may mislead.
 ///
 /// Only what the report shows above the most that this VM had under way since the report before
-/// counts as foreign work, and only until the report is old.
+/// counts as foreign work, only if several reports in a row show it, since a report that lags
+/// shows a burst of this VM's own that is over, and only until the last report is old.
 ///
 /// ```
 /// use std::time::Duration;
@@ -15,7 +16,9 @@
 /// use steer::{LoadCorrection, LoadReport};
 /// let (mut correction, now) = (LoadCorrection::default(), Instant::now());
 /// correction.note_own(2);
-/// correction.take_report(now, LoadReport { busy: 5, leaving: false, queued: 0 }, 1);
+/// for _ in 0..LoadCorrection::REPORTS {
+///     correction.take_report(now, LoadReport { busy: 5, leaving: false, queued: 0 }, 2);
+/// }
 /// assert_eq!(correction.foreign(now), 3);
 /// assert_eq!(correction.foreign(now + LoadCorrection::KEPT), 0);
 /// ```
@@ -23,11 +26,13 @@
 pub struct LoadCorrection {
     at: Option<Instant>,
     before: u32,
-    foreign: u32,
+    excess: [u32; Self::REPORTS],
     most: u32,
 }
 
 impl LoadCorrection {
+    /// Reports in a row that have to show foreign work.
+    pub const REPORTS: usize = 4;
     /// Time for which a report counts.
     pub const KEPT: Duration = Duration::from_secs(2);
 
@@ -39,7 +44,8 @@
     /// Takes a report; `own` are the requests that this VM has under way now.
     pub fn take_report(&mut self, now: Instant, report: LoadReport, own: u32) {
         let most = self.most.max(self.before).max(own);
-        self.foreign = (report.busy + report.queued).saturating_sub(most);
+        self.excess.rotate_left(1);
+        self.excess[Self::REPORTS - 1] = (report.busy + report.queued).saturating_sub(most);
         self.before = self.most;
         self.most = own;
         self.at = Some(now);
@@ -48,7 +54,7 @@
     /// Slots that others use, as far as is known.
     pub fn foreign(&self, now: Instant) -> u32 {
         let fresh = self.at.is_some_and(|at| now.saturating_duration_since(at) < Self::KEPT);
-        if fresh { self.foreign } else { 0 }
+        if fresh { self.excess.into_iter().min().unwrap_or_default() } else { 0 }
     }
 
     /// When the last report came.
--- a/crates/steer/src/flows/renew_room.rs
+++ b/crates/steer/src/flows/renew_room.rs
@@ -43,7 +43,8 @@
 
 async fn renew(node: &EntryNode, key: &PoolKey) {
     let PoolOwner::Peer(owner) = node.pool_owner(key) else { return };
-    if node.zones().room().drop_idle(key, Instant::now()) {
+    let round_trip = node.delay_to(&owner.zone) * 2;
+    if node.zones().room().drop_idle(key, round_trip, Instant::now()) {
         let item = LeaseItem::Room(key.clone());
         // A return that gets lost is made good by the lapse.
         let _lost = ask_lease(node, owner.addresses.peers, item, 0).await;
--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -19,6 +19,8 @@
 const LEASE_HEADER: HeaderName = HeaderName::from_static("x-room-lease");
 /// Header with the availability zone of the pool that a request is for.
 const ZONE_HEADER: HeaderName = HeaderName::from_static("x-pool-zone");
+/// Requests that wait for each slot, up to which a key is claimed before its request queues.
+const CLAIM_QUEUE: u32 = 4;
 /// Time between two looks for room elsewhere.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -110,7 +112,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let pool = node.pool(key);
     let room = pool.room();
-    if call.rule.repeat == RepeatRule::AtMostOnce && room.queued < room.slots {
+    if call.rule.repeat == RepeatRule::AtMostOnce && room.queued < CLAIM_QUEUE * room.slots {
         // Its key is claimed before it takes a slot, and a claim can't move to another zone.
         return run_here(node, call, attempt, key, None).await;
     }
--- a/crates/steer/src/routing/room_desk.rs
+++ b/crates/steer/src/routing/room_desk.rs
@@ -20,6 +20,14 @@
     waiting: u64,
 }
 
+impl Shelf {
+    /// Slots that the demand of the last second uses up in one round trip.
+    fn ahead(&mut self, round_trip: Duration, now: Instant) -> u64 {
+        let used = self.demand.used(now) as f64 * round_trip.as_secs_f64();
+        (used.round() as u64).min(RoomDesk::MOST_AHEAD)
+    }
+}
+
 /// Holds a few slots of each pool that this VM's overflow goes to, so that a surge does not pay
 /// a round trip a request.
 #[derive(Debug, Default)]
@@ -105,8 +113,7 @@
     pub fn want(&mut self, key: &PoolKey, round_trip: Duration, now: Instant) -> u64 {
         let at_hand = self.at_hand(key, now);
         let shelf = self.shelf(key);
-        let ahead = (shelf.demand.used(now) as f64 * round_trip.as_secs_f64()).round() as u64;
-        (ahead.min(Self::MOST_AHEAD) + shelf.waiting).saturating_sub(at_hand)
+        (shelf.ahead(round_trip, now) + shelf.waiting).saturating_sub(at_hand)
     }
 
     /// Pools that this VM holds slots of, or has sent requests to in the last second.
@@ -114,15 +121,22 @@
         self.shelves.keys().cloned().collect()
     }
 
-    /// Drops the slots of a pool that nobody asked for in the last second; tells whether there
-    /// were any to give back.
-    pub fn drop_idle(&mut self, key: &PoolKey, now: Instant) -> bool {
+    /// Drops the slots of a pool that no request waits for, where they are more than the demand
+    /// of the last second needs; tells whether there were any to give back.
+    pub fn drop_idle(&mut self, key: &PoolKey, round_trip: Duration, now: Instant) -> bool {
+        let at_hand = self.at_hand(key, now);
         let Some(shelf) = self.shelves.get_mut(key) else { return false };
-        if shelf.demand.used(now) > 0 || shelf.waiting > 0 {
+        if shelf.waiting > 0 {
             return false;
         }
-        let held = self.shelves.remove(key).map(|s| s.leases).unwrap_or_default();
-        held.iter().any(|(_, lease)| lease.amount(now) > 0)
+        if at_hand > shelf.ahead(round_trip, now) {
+            shelf.leases.clear();
+            return true;
+        }
+        if shelf.demand.used(now) == 0 {
+            self.shelves.remove(key);
+        }
+        false
     }
 
     /// Notes one more request that waits for a grant, and gives the lock that lets one ask.
