Wait for a planned stop in the lab instead of killing it

Cause: starting an entry VM anew dropped the handle of the old process, which killed it. A drain lasts at least 5 s, and `replace-all` started the new process after 4 s, so no planned stop there could have ended by itself; in `stop-entry` it logged "vm: draining" and never "vm: stopped". Change: the lab waits up to 30 s for a process that it asked to stop, and counts stops that don't exit with 0 as a bound of `stop-entry` and `replace-all`. Stops still open at the end of a run are waited for too. `replace-all` has not been run with it.

--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -25,6 +25,8 @@
     pub run_ratio: f64,
     /// What each target ran.
     pub runs: BTreeMap<TargetName, Vec<RunRecord>>,
+    /// Planned stops that didn't end with exit code 0 in time.
+    pub unclean_stops: u64,
 }
 
 impl Checks {
@@ -56,6 +58,7 @@
         let total: u64 = by_key.values().sum();
         checks.run_ratio = total as f64 / by_key.len().max(1) as f64;
         checks.runs = runs;
+        checks.unclean_stops = fleet.unclean_stops;
         checks
     }
 
@@ -82,6 +85,7 @@
             "missing": self.missing,
             "over_slots": self.over_slots,
             "run_ratio": self.run_ratio,
+            "unclean_stops": self.unclean_stops,
         })
     }
 }
--- a/crates/lab/src/experiments/fault_experiments.rs
+++ b/crates/lab/src/experiments/fault_experiments.rs
@@ -20,6 +20,11 @@
     ]
 }
 
+/// Planned stops of an entry VM that were not orderly.
+fn unclean_stops(run: &RunResult) -> Bound {
+    Bound::none("planned stops that did not exit with 0 in time", run.checks.unclean_stops)
+}
+
 /// Part of the requests that ended with neither answer nor refusal.
 fn failed_part(run: &RunResult, limit: f64) -> Bound {
     let part = run.checks.failed as f64 / run.arrivals.len().max(1) as f64;
@@ -42,7 +47,11 @@
     let scenario =
         bench.scenario(LOAD).at(4.0, Action::StopEntry(1)).at(9.0, Action::StartEntry(1));
     run_faults(bench, scenario, |run| {
-        vec![Bound::none("requests cut by a planned stop", run.checks.failed), over_slots(run)]
+        vec![
+            Bound::none("requests cut by a planned stop", run.checks.failed),
+            unclean_stops(run),
+            over_slots(run),
+        ]
     })
     .await
 }
@@ -98,7 +107,7 @@
     }
     scenario.length = std::time::Duration::from_secs_f64(at + 2.0);
     run_faults(bench, scenario, |run| {
-        vec![Bound::none("requests cut by planned stops", run.checks.failed)]
+        vec![Bound::none("requests cut by planned stops", run.checks.failed), unclean_stops(run)]
     })
     .await
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -6,12 +6,25 @@
 };
 use adapters::PlatformVmBody;
 use serde_json::json;
-use std::{collections::BTreeMap, env, error::Error, fs, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    env,
+    error::Error,
+    fs,
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
 use steer::{AvailabilityZoneName, RegionName, Snapshot, TargetName};
-use tokio::process::{Child, Command};
+use tokio::{
+    process::{Child, Command},
+    time::timeout,
+};
 
 /// Cap of links inside a region in bytes a second.
 const LOCAL_CAP: u64 = 10_000_000_000 / 8;
+/// Longest time for an entry VM to end once it was asked to stop.
+const STOP_WAIT: Duration = Duration::from_secs(30);
 
 /// A running fleet. Its entry VMs are processes, which end with it.
 #[derive(Debug)]
@@ -30,9 +43,13 @@
     pub snapshot: Snapshot,
     /// Targets by name.
     pub targets: BTreeMap<TargetName, Arc<TargetStandIn>>,
+    /// Planned stops that didn't end with exit code 0 in time.
+    pub unclean_stops: u64,
     deployment: Deployment,
     line_rate: f64,
     relays: Vec<Relay>,
+    /// Entry VMs that were asked to stop and have not been waited for.
+    stopping: BTreeSet<u8>,
 }
 
 /// A relay between two availability zones.
@@ -79,11 +96,13 @@
             entry_vms: BTreeMap::new(),
             line_rate,
             relays: Vec::new(),
+            stopping: BTreeSet::new(),
             links: BTreeMap::new(),
             network,
             platform,
             snapshot: deployment.snapshot(network)?,
             targets: BTreeMap::new(),
+            unclean_stops: 0,
         };
         fleet.fill_platform();
         fleet.start_links().await?;
@@ -235,6 +254,36 @@
         Ok(())
     }
 
+    /// Asks an entry VM to stop.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::signal`].
+    pub async fn stop_entry_vm(&mut self, vm: u8) -> Result<(), Box<dyn Error>> {
+        self.signal(vm, "TERM").await?;
+        self.stopping.insert(vm);
+        Ok(())
+    }
+
+    /// Waits until an entry VM that was asked to stop has ended, and counts a stop that was cut
+    /// short, failed or took too long. Other VMs are left as they are.
+    pub async fn finish_stop(&mut self, vm: u8) {
+        if !self.stopping.remove(&vm) {
+            return;
+        }
+        let Some(child) = self.entry_vms.get_mut(&vm) else { return };
+        let status = timeout(STOP_WAIT, child.wait()).await;
+        let is_clean = matches!(status, Ok(Ok(status)) if status.success());
+        self.unclean_stops += u64::from(!is_clean);
+    }
+
+    /// Waits for every entry VM that was asked to stop.
+    pub async fn finish_stops(&mut self) {
+        for vm in self.stopping.clone() {
+            self.finish_stop(vm).await;
+        }
+    }
+
     /// Cuts or heals what joins a region to the others and to the platform, by its number.
     pub fn cut_region(&self, region: usize, cut: bool) {
         let name = self.regions().get(region).map(|r| RegionName::from(r.as_str()));
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -97,6 +97,7 @@
     let ended = async { while requests.join_next().await.is_some() {} };
     // What has not ended by then shows as missing in the ends.
     let _in_time = timeout(END_WAIT, ended).await;
+    fleet.finish_stops().await;
     background.shutdown().await;
     println!();
     let ends = std::mem::take(&mut *board.ends.lock().expect("no holder of the ends panics"));
@@ -234,8 +235,12 @@
                 |_: &Fleet, target: &TargetName| names.iter().any(|n| n == target.as_str());
             change_targets(fleet, listed, |controls| controls.slowdown(*factor));
         }
-        Action::StartEntry(vm) => fleet.start_entry_vm(*vm)?,
-        Action::StopEntry(vm) => fleet.signal(*vm, "TERM").await?,
+        Action::StartEntry(vm) => {
+            // Its address is free only once the old process has ended.
+            fleet.finish_stop(*vm).await;
+            fleet.start_entry_vm(*vm)?;
+        }
+        Action::StopEntry(vm) => fleet.stop_entry_vm(*vm).await?,
     }
     Ok(())
 }
