--- a/crates/lab/src/experiments/catalogue.rs
+++ b/crates/lab/src/experiments/catalogue.rs
@@ -29,7 +29,7 @@
 }
 
 /// Names of all experiments.
-pub const NAMES: [&str; 17] = [
+pub const NAMES: [&str; 19] = [
     "steady",
     "surge",
     "slow-targets",
@@ -45,6 +45,8 @@
     "zone-cut",
     "region-cut",
     "platform-down",
+    "platform-slow",
+    "lost-answers",
     "replace-all",
     "chaos",
 ];
@@ -68,8 +70,10 @@
         "flood" => load::flood(&bench).await,
         "kill-entry" => faults::kill_entry(&bench).await,
         "link-full" => shifts::link_full(&bench).await,
+        "lost-answers" => faults::lost_answers(&bench).await,
         "pause-entry" => faults::pause_entry(&bench).await,
         "platform-down" => faults::platform_down(&bench).await,
+        "platform-slow" => faults::platform_slow(&bench).await,
         "region-cut" => faults::region_cut(&bench).await,
         "replace-all" => faults::replace_all(&bench).await,
         "shift" => shifts::shift(&bench).await,
--- a/crates/lab/src/experiments/fault_experiments.rs
+++ b/crates/lab/src/experiments/fault_experiments.rs
@@ -1,14 +1,18 @@
 //! Experiments on failures of entry VMs, links and the platform.
 
 use super::{Bound, ExperimentResult, Measure, catalogue::Bench, load_experiments::over_slots};
-use crate::{Action, RunResult, Scenario};
+use crate::{Action, PlatformFaults, RunResult, Scenario};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use std::error::Error;
+use std::{error::Error, time::Duration};
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
 /// Load under which entry VMs, links and the platform fail.
 const LOAD: f64 = 0.5;
+/// Time that a slow platform takes for each answer.
+const SLOW_PLATFORM: Duration = Duration::from_millis(300);
+/// One answer to a write in as many is lost.
+const LOSE_EVERY: u64 = 5;
 
 /// The promises that hold whatever fails.
 fn promises(run: &RunResult) -> Vec<Bound> {
@@ -88,6 +92,25 @@
     run_faults(bench, scenario, |run| vec![failed_part(run, 0.02), over_slots(run)]).await
 }
 
+/// The platform fails in a stated way for a while.
+async fn platform_fails(bench: &Bench<'_>, faults: PlatformFaults) -> Result<ExperimentResult> {
+    let scenario = bench
+        .scenario(LOAD)
+        .at(3.0, Action::PlatformFails(faults))
+        .at(11.0, Action::PlatformFails(PlatformFaults::new()));
+    run_faults(bench, scenario, |run| vec![failed_part(run, 0.02), over_slots(run)]).await
+}
+
+/// The platform takes long for each answer for a while.
+pub(super) async fn platform_slow(bench: &Bench<'_>) -> Result<ExperimentResult> {
+    platform_fails(bench, PlatformFaults::new().delay(SLOW_PLATFORM)).await
+}
+
+/// Answers to writes that took effect are lost for a while.
+pub(super) async fn lost_answers(bench: &Bench<'_>) -> Result<ExperimentResult> {
+    platform_fails(bench, PlatformFaults::new().lose_answers(LOSE_EVERY)).await
+}
+
 /// Every entry VM in turn is stopped and replaced.
 pub(super) async fn replace_all(bench: &Bench<'_>) -> Result<ExperimentResult> {
     let mut scenario = bench.scenario(LOAD);
@@ -96,7 +119,7 @@
         scenario = scenario.at(at, Action::StopEntry(vm)).at(at + 4.0, Action::StartEntry(vm));
         at += 6.0;
     }
-    scenario.length = std::time::Duration::from_secs_f64(at + 2.0);
+    scenario.length = Duration::from_secs_f64(at + 2.0);
     run_faults(bench, scenario, |run| {
         vec![Bound::none("requests cut by planned stops", run.checks.failed)]
     })
@@ -108,7 +131,7 @@
     let mut rng = StdRng::seed_from_u64(bench.options.seed);
     let vms = bench.deployment.entry_vms().len() as u8;
     let mut scenario = bench.scenario(LOAD);
-    scenario.length = std::time::Duration::from_secs(40);
+    scenario.length = Duration::from_secs(40);
     let mut at = 2.0;
     while at < 32.0 {
         let vm = rng.random_range(1..=vms);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -19,7 +19,8 @@
                      where one falls short. NAME is one of steady, surge,
                      slow-targets, uploads, flood, shift, cold-region,
                      link-full, drain, stop-entry, kill-entry, pause-entry,
-                     zone-cut, region-cut, platform-down, replace-all, chaos
+                     zone-cut, region-cut, platform-down, platform-slow,
+                     lost-answers, replace-all, chaos
 
   slopes             Measure how state, messages, time and memory grow
 
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -224,6 +224,7 @@
         Action::PauseEntry(vm, true) => fleet.signal(*vm, "STOP").await?,
         Action::PauseEntry(vm, false) => fleet.signal(*vm, "CONT").await?,
         Action::PlatformDown(down) => fleet.cut_platform(*down),
+        Action::PlatformFails(faults) => fleet.platform.set_faults(*faults),
         Action::PutSettings(path, text) => {
             let path = SettingsPath::parse(path).ok_or("no settings path")?;
             let text = text.replace("{NOW}", &SystemClock.now().to_string());
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,6 +1,6 @@
 //! What a run does: its load, its length, and what happens in it.
 
-use crate::Workload;
+use crate::{PlatformFaults, Workload};
 use std::time::Duration;
 use steer::MemberName;
 
@@ -30,6 +30,8 @@
     PauseEntry(u8, bool),
     /// Cuts or heals every VM's way to the platform.
     PlatformDown(bool),
+    /// Makes the platform fail in a stated way from now on.
+    PlatformFails(PlatformFaults),
     /// Writes a settings document; `{NOW}` stands for the time.
     PutSettings(String, String),
     /// Makes targets slower, by name.
--- a/crates/lab/src/stand_ins/platform_faults.rs
+++ b/crates/lab/src/stand_ins/platform_faults.rs
@@ -11,7 +11,7 @@
 /// assert!(!faults.is_down());
 /// assert!(faults.outage(true).is_down());
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlatformFaults {
     pub(super) delay: Duration,
     pub(super) list_lag: Duration,
