--- a/crates/lab/src/callers/exchange.rs
+++ b/crates/lab/src/callers/exchange.rs
@@ -5,7 +5,8 @@
 use adapters::ConnectionPool;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header::HOST};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Collected, StreamBody};
+use serde_json::Value;
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 use steer::{Body, BodyError, SendError, empty_body, full_body};
 use tokio::time::{Instant, sleep};
@@ -26,6 +27,8 @@
     pub outcome: Outcome,
     /// An answer of another request came.
     pub crossed: bool,
+    /// Why the last sending was not answered, by the problem that came back.
+    pub reason: Option<String>,
     /// Requests that were sent for it.
     pub sent: u32,
 }
@@ -61,15 +64,17 @@
             latency: Duration::ZERO,
             outcome: Outcome::Failed,
             crossed: false,
+            reason: None,
             sent: 0,
         };
         loop {
             sleep(self.delay).await;
-            let (outcome, crossed) = self.exchange(arrival, &end.key, end.sent).await;
+            let (outcome, reply) = self.exchange(arrival, &end.key, end.sent).await;
             sleep(self.delay).await;
             end.sent += 1;
-            end.crossed |= crossed;
+            end.crossed |= reply.crossed;
             end.outcome = outcome;
+            end.reason = reply.reason;
             if outcome != Outcome::Refused || end.sent > self.repeats {
                 break;
             }
@@ -79,10 +84,10 @@
         end
     }
 
-    async fn exchange(&self, arrival: &Arrival, key: &str, attempt: u32) -> (Outcome, bool) {
+    async fn exchange(&self, arrival: &Arrival, key: &str, attempt: u32) -> (Outcome, Reply) {
         let workload = &self.workloads[arrival.workload];
         let Some(request) = to_request(arrival, workload, key, self.domain) else {
-            return (Outcome::Failed, false);
+            return (Outcome::Failed, Reply::default());
         };
         let response = match &self.naive {
             Some(front) => front.send(&workload.service.into(), arrival.region, request).await,
@@ -90,8 +95,8 @@
         };
         match response {
             Ok(response) => read_outcome(response, key).await,
-            Err(SendError::NotSent { .. }) => (Outcome::Refused, false),
-            Err(SendError::Sent { .. }) => (Outcome::Failed, false),
+            Err(SendError::NotSent { .. }) => (Outcome::Refused, Reply::because("not sent")),
+            Err(SendError::Sent { .. }) => (Outcome::Failed, Reply::because("connection lost")),
         }
     }
 
@@ -158,16 +163,32 @@
         .boxed_unsync()
 }
 
-async fn read_outcome(response: Response<Body>, key: &str) -> (Outcome, bool) {
+/// What came back for one sending.
+#[derive(Debug, Default)]
+struct Reply {
+    crossed: bool,
+    reason: Option<String>,
+}
+
+impl Reply {
+    fn because(reason: &str) -> Self {
+        Self { crossed: false, reason: Some(reason.to_owned()) }
+    }
+}
+
+async fn read_outcome(response: Response<Body>, key: &str) -> (Outcome, Reply) {
     let (head, body) = response.into_parts();
     let header = |name| head.headers.get(name).and_then(|v| v.to_str().ok());
     let id = header(TargetStandIn::ID_HEADER);
     let crossed = id.is_some_and(|id| id != key);
-    let whole = body.collect().await.is_ok();
-    let outcome = match head.status {
-        StatusCode::OK if id == Some(key) && whole => Outcome::Answered,
-        _ if header("request-outcome") == Some("not-run") => Outcome::Refused,
-        _ => Outcome::Failed,
-    };
-    (outcome, crossed)
+    let body = body.collect().await.map(Collected::to_bytes);
+    if head.status == StatusCode::OK && id == Some(key) && body.is_ok() {
+        return (Outcome::Answered, Reply { crossed, reason: None });
+    }
+    let problem = body.ok().and_then(|b| serde_json::from_slice::<Value>(&b).ok());
+    let kind = problem.as_ref().and_then(|p| p["type"].as_str()?.rsplit(':').next());
+    let reason = Some(kind.unwrap_or("no problem").to_owned());
+    let refused = header("request-outcome") == Some("not-run");
+    let outcome = if refused { Outcome::Refused } else { Outcome::Failed };
+    (outcome, Reply { crossed, reason })
 }
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -21,6 +21,8 @@
     pub missing: u64,
     /// Most requests at a target above its slots.
     pub over_slots: u32,
+    /// Requests without an answer, by reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Runs at targets by request that ran, 1.0 where none was sent twice.
     pub run_ratio: f64,
     /// What each target ran.
@@ -49,6 +51,10 @@
             let Some(end) = end else { continue };
             let ran = by_key.get(end.key.as_str()).copied().unwrap_or_default();
             let workload = &workloads[arrival.workload];
+            if let Some(reason) = &end.reason {
+                let reason = format!("{} {reason}", workload.label());
+                *checks.reasons.entry(reason).or_default() += 1;
+            }
             checks.crossed += u64::from(end.crossed);
             checks.failed += u64::from(end.outcome == Outcome::Failed);
             checks.false_refusals += u64::from(end.outcome == Outcome::Refused && ran > 0);
@@ -84,6 +90,7 @@
             "false_refusals": self.false_refusals,
             "missing": self.missing,
             "over_slots": self.over_slots,
+            "reasons": self.reasons,
             "run_ratio": self.run_ratio,
             "unclean_stops": self.unclean_stops,
         })
--- a/crates/lab/src/experiments/outcome_report.rs
+++ b/crates/lab/src/experiments/outcome_report.rs
@@ -49,6 +49,9 @@
         let write = |table: &mut String| -> Result<(), std::fmt::Error> {
             for run in &self.runs {
                 writeln!(table, "{}\n{}", run.label, run.report.to_table(&run.regions))?;
+                for (reason, count) in &run.checks.reasons {
+                    writeln!(table, "  {count:>6} {reason}")?;
+                }
                 for (at, event) in &run.events {
                     writeln!(table, "  at {:.1} s: {event}", at.as_secs_f64())?;
                 }
