Trust a new owner's first load report, and ask for the right blocks

Cause: since foreign work needs four reports in a row, a new owner of a pool saw six free slots where the former owner still ran four; the test of load reports failed. In the lab, callers of each region asked for the client block of another one, so tables named the wrong region. Change: the first reports after a change of owner count at once; the lab takes the blocks of each region from the settings. Measured: pool_rules and pool_under_load pass.

--- a/crates/lab/src/callers/lookup_cache.rs
+++ b/crates/lab/src/callers/lookup_cache.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize;
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
-use steer::empty_body;
+use steer::{Snapshot, empty_body};
 use tokio::time::{Instant, timeout};
 
 /// Longest wait for the answer of a look-up.
@@ -37,14 +37,16 @@
 pub struct LookupCache {
     /// Addresses that callers know from the beginning, which may be out of date.
     bootstrap: Vec<SocketAddr>,
+    /// Second byte of the client blocks of each region, by the region's number.
+    homes: Vec<u8>,
     lists: Mutex<Lists>,
     pool: Arc<ConnectionPool>,
 }
 
 impl LookupCache {
     /// Makes an empty cache.
-    pub fn new(bootstrap: Vec<SocketAddr>, pool: Arc<ConnectionPool>) -> Self {
-        Self { bootstrap, lists: Mutex::default(), pool }
+    pub fn new(bootstrap: Vec<SocketAddr>, snapshot: &Snapshot, pool: Arc<ConnectionPool>) -> Self {
+        Self { bootstrap, homes: home_bytes(snapshot), lists: Mutex::default(), pool }
     }
 
     /// Client blocks of each region, each with a cached answer of its own.
@@ -77,7 +79,7 @@
         region: usize,
         block: u8,
     ) -> Option<(Duration, Vec<SocketAddr>)> {
-        let block = format!("10.{}.{block}.0/24", region + 1);
+        let block = format!("10.{}.{block}.0/24", self.homes.get(region)?);
         let request = Request::get(format!("{LOOKUP_PATH}?block={block}"))
             .header(HOST, vm.to_string())
             .body(empty_body())
@@ -92,3 +94,17 @@
         (!list.is_empty()).then(|| (Duration::from_secs(answer.max_age), list))
     }
 }
+
+/// The second byte of the first IPv4 block of each region, in the order of the regions' names.
+fn home_bytes(snapshot: &Snapshot) -> Vec<u8> {
+    let Some(fleet) = snapshot.fleet() else { return Vec::new() };
+    let byte = |region| {
+        fleet.blocks.iter().filter(|(_, home)| *home == region).find_map(|(block, _)| {
+            match block.network().addr() {
+                IpAddr::V4(v4) => Some(v4.octets()[1]),
+                IpAddr::V6(_) => None,
+            }
+        })
+    };
+    fleet.regions.keys().filter_map(byte).collect()
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -139,7 +139,7 @@
     Callers {
         delay: Duration::from_secs_f64(deployment.client_delay() / 1e3),
         domain: deployment.name(),
-        lookups: LookupCache::new(bootstrap, Arc::clone(&pool)),
+        lookups: LookupCache::new(bootstrap, &fleet.snapshot, Arc::clone(&pool)),
         naive,
         pool,
         prefix: format!("{}-{}", scenario.seed, fleet.network.run()),
--- a/crates/steer/src/choice/load_correction.rs
+++ b/crates/steer/src/choice/load_correction.rs
@@ -7,8 +7,9 @@
 /// Corrects own counts by a target's load report, which lags and may mislead.
 ///
 /// Only what the report shows above the most that this VM had under way since the report before
-/// counts as foreign work, only if several reports in a row show it, since a report that lags
-/// shows a burst of this VM's own that is over, and only until the last report is old.
+/// counts as foreign work, and only until the last report is old. Several reports in a row have
+/// to show it, since a report that lags shows a burst of this VM's own that is over; the first
+/// ones count at once, since then nothing is known of who else uses the target.
 ///
 /// ```
 /// use std::time::Duration;
@@ -16,9 +17,7 @@
 /// use steer::{LoadCorrection, LoadReport};
 /// let (mut correction, now) = (LoadCorrection::default(), Instant::now());
 /// correction.note_own(2);
-/// for _ in 0..LoadCorrection::REPORTS {
-///     correction.take_report(now, LoadReport { busy: 5, leaving: false, queued: 0 }, 2);
-/// }
+/// correction.take_report(now, LoadReport { busy: 5, leaving: false, queued: 0 }, 1);
 /// assert_eq!(correction.foreign(now), 3);
 /// assert_eq!(correction.foreign(now + LoadCorrection::KEPT), 0);
 /// ```
@@ -28,6 +27,7 @@
     before: u32,
     excess: [u32; Self::REPORTS],
     most: u32,
+    reports: usize,
 }
 
 impl LoadCorrection {
@@ -49,12 +49,23 @@
         self.before = self.most;
         self.most = own;
         self.at = Some(now);
+        self.reports += 1;
+    }
+
+    /// Forgets the reports, as this VM begins to own the target's pool.
+    pub fn forget(&mut self) {
+        *self = Self { most: self.most, ..Self::default() };
     }
 
     /// Slots that others use, as far as is known.
     pub fn foreign(&self, now: Instant) -> u32 {
         let fresh = self.at.is_some_and(|at| now.saturating_duration_since(at) < Self::KEPT);
-        if fresh { self.excess.into_iter().min().unwrap_or_default() } else { 0 }
+        if !fresh {
+            return 0;
+        }
+        let [.., last] = self.excess;
+        let least = self.excess.into_iter().min().unwrap_or_default();
+        if self.reports < Self::REPORTS { last } else { least }
     }
 
     /// When the last report came.
--- a/crates/steer/src/pool/target_pool.rs
+++ b/crates/steer/src/pool/target_pool.rs
@@ -99,6 +99,9 @@
     pub fn take_over(&self) {
         let mut state = self.lock();
         state.grace = Some(Instant::now() + Self::GRACE);
+        for target in &mut state.targets {
+            target.correction.forget();
+        }
         state.note_change();
     }
 
