Give each test address an IP number of its own

Change: such addresses stand on loopback numbers that nothing connects from. Measured: the tests of adapters and the program pass.

--- a/crates/adapters/tests/control_bytes.rs
+++ b/crates/adapters/tests/control_bytes.rs
@@ -52,7 +52,8 @@
 
 /// Bytes that one exchange takes, sent with some pools' room.
 async fn exchange_bytes(pools: usize) -> f64 {
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // An address of its own, so that no connection of another test can take the port.
+    let address = TcpListener::bind("127.0.0.2:0").unwrap().local_addr().unwrap();
     let node = make_node(entry_vm(1, 1, 1, address));
     let _server = serve_peers(node, address).await.unwrap();
     let sender = make_node(entry_vm(2, 1, 1, "10.20.30.40:8083".parse().unwrap()));
--- a/crates/adapters/tests/peers_contract.rs
+++ b/crates/adapters/tests/peers_contract.rs
@@ -8,8 +8,11 @@
 use std::{
     collections::BTreeMap,
     fmt::Write,
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 use steer::{
@@ -23,8 +26,12 @@
 
 const MALFORMED: u64 = 2000;
 
+/// A loopback address that nobody listens at: an IP number of its own for each call, so that no
+/// connection of another test can take the port.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind((Ipv4Addr::new(127, 0, call, 4), 0)).unwrap().local_addr().unwrap()
 }
 
 fn entry_vm(name: &str, peers: SocketAddr) -> EntryVm {
--- a/crates/lab/tests/platform_contract.rs
+++ b/crates/lab/tests/platform_contract.rs
@@ -116,7 +116,8 @@
     let mut tables = Vec::new();
     for guarded in [false, true] {
         let platform = PlatformStandIn::new();
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        // An address of its own, so that no connection of another test can take the port.
+        let address = TcpListener::bind("127.0.0.3:0").unwrap().local_addr().unwrap();
         platform.serve(address).await.unwrap();
         let http: Arc<dyn Platform> =
             Arc::new(HttpPlatform::new(address, "operator", ConnectionPool::new()));
--- a/crates/ragwortswitch/tests/command_line.rs
+++ b/crates/ragwortswitch/tests/command_line.rs
@@ -12,11 +12,11 @@
 use std::{
     fmt::Write,
     fs,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
 };
 use steer::{SettingsPath, watch_settings};
@@ -149,9 +149,12 @@
     insta::assert_snapshot!(table);
 }
 
-/// A loopback address that nobody listens at.
+/// A loopback address that nobody listens at: an IP number of its own for each call, so that no
+/// connection of another test can take the port.
 fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind((Ipv4Addr::new(127, 0, call, 5), 0)).unwrap().local_addr().unwrap()
 }
 
 /// A platform with the example's settings.
