Let requests wait in the region where their zone has no targets

Its entry VMs could move work only into slots lent one by one, which stand idle while grant and request are on their way, and what a queue refused was not offered to other zones. Change: where the own zone has no target in service, requests wait in the queue of the nearest zone of the region, whose owner counts them; interactive work that a queue refuses is offered to at most two zones that had room.

--- a/crates/steer/src/flows/route_request.rs
+++ b/crates/steer/src/flows/route_request.rs
@@ -21,6 +21,8 @@
 const ZONE_HEADER: HeaderName = HeaderName::from_static("x-pool-zone");
 /// Requests that wait for each slot, up to which a key is claimed before its request queues.
 const CLAIM_QUEUE: u32 = 4;
+/// Most zones that are asked for a slot for a request that the own queue refused.
+const OVERFLOW_ZONES: usize = 2;
 /// Time between two looks for room elsewhere.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -79,14 +81,16 @@
     mut attempt: Attempt<Unsent>,
     wanted: &RegionName,
 ) -> Tried {
+    let home = node.home_zone(&call.service);
     for zone in node.plan_route(call, wanted) {
         let key = PoolKey { service: call.service.name.clone(), zone };
+        let queues = home.as_ref() == Some(&key.zone);
         let result = match node.pool_owner(&key) {
             PoolOwner::Here => {
                 return Tried::Done(run_or_move(node, call, attempt, &key).await);
             }
             PoolOwner::Nobody => continue,
-            PoolOwner::Peer(peer) if peer.zone == node.vm().zone => {
+            PoolOwner::Peer(peer) if queues || peer.zone == node.vm().zone => {
                 hand_off(node, call, attempt, &peer, &key, None).await
             }
             PoolOwner::Peer(peer) => move_to(node, call, attempt, &peer, &key).await,
@@ -132,7 +136,10 @@
             note_home(node, call, &result, start);
             result
         }
-        Place::Here(Err(error)) => Err(error.explain(attempt.refuse_not_run(error.kind))),
+        Place::Here(Err(error)) => match move_overflow(node, call, attempt, key).await {
+            Tried::Done(result) => result,
+            Tried::NoRoom(back) => Err(error.explain(back.refuse_not_run(error.kind))),
+        },
         Place::NewOwner => move_to_owner(node, call, attempt, key).await,
         Place::There(peer, there, ticket) => {
             match hand_over(node, call, attempt, &peer, &there, ticket).await {
@@ -144,6 +151,31 @@
     }
 }
 
+/// Moves a request that the own queue refused to a zone that had room, if its owner grants a slot.
+async fn move_overflow(
+    node: &EntryNode,
+    call: &Call,
+    mut attempt: Attempt<Unsent>,
+    key: &PoolKey,
+) -> Tried {
+    if call.rule.urgency != Urgency::Interactive {
+        return Tried::NoRoom(attempt);
+    }
+    let plan = node.plan_route(call, &node.vm().region);
+    for zone in plan.into_iter().filter(|zone| *zone != key.zone).take(OVERFLOW_ZONES) {
+        let there = PoolKey { service: key.service.clone(), zone };
+        let PoolOwner::Peer(peer) = node.pool_owner(&there) else { continue };
+        match move_to(node, call, attempt, &peer, &there).await {
+            Ok(response) => return Tried::Done(Ok(response)),
+            Err(AttemptError::NotSent(back, _)) => attempt = back,
+            Err(AttemptError::Sent(sent, kind)) => {
+                return Tried::Done(Err(sent.refuse_unknown(kind)));
+            }
+        }
+    }
+    Tried::NoRoom(attempt)
+}
+
 /// Runs a request in a pool of this VM, or moves it to the new owner where this VM drains.
 async fn run_here(
     node: &EntryNode,
@@ -282,7 +314,7 @@
 }
 
 /// Runs a request that a peer handed over: in the slot of its lease, or, for a peer of the own
-/// zone, in the queue. Anything else is refused before it starts.
+/// region, in the queue. Anything else is refused before it starts.
 async fn run_for_peer(
     node: &EntryNode,
     call: &Call,
@@ -292,7 +324,7 @@
     lease: Option<u64>,
 ) -> Result<Response<Body>, Refusal> {
     let known = node.peer(peer);
-    let neighbour = known.as_ref().is_some_and(|vm| vm.zone == node.vm().zone);
+    let neighbour = known.as_ref().is_some_and(|vm| vm.region == node.vm().region);
     let lent = lease.and_then(|id| node.redeem_room(key, id, peer));
     let admitted = lent.is_some() || (neighbour && lease.is_none());
     if !admitted || !node.served_zones().contains(&key.zone) {
--- a/crates/steer/src/node/entry_zones.rs
+++ b/crates/steer/src/node/entry_zones.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     AvailabilityZoneName, Call, EntryNode, EntryVm, LeaseAsk, LeaseGrant, LeaseHolder, LeaseItem,
-    LentSlots, Permit, PlatformVm, PoolKey, PoolOwner, PoolRoom, RegionName, ShareKey, ShareTotal,
-    ShiftDesk, ShiftSettings, ShiftStatus, VmKindTag, VmName, ZoneView, nearest_neighbour,
-    order_zones, plan_zones,
+    LentSlots, Permit, PlatformVm, PoolKey, PoolOwner, PoolRoom, RegionName, Service, ShareKey,
+    ShareTotal, ShiftDesk, ShiftSettings, ShiftStatus, VmKindTag, VmName, ZoneView,
+    nearest_neighbour, order_zones, plan_zones,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -177,6 +177,19 @@
         self.snapshot().shifts().iter().find(matches).map(ShiftDesk::key)
     }
 
+    /// The zone in whose queue a request of this VM may wait: its own, or, where that has no
+    /// target of the service that takes work, the nearest of its region.
+    pub fn home_zone(&self, service: &Service) -> Option<AvailabilityZoneName> {
+        let snapshot = self.snapshot();
+        let own = &self.vm().region;
+        let zones = order_zones(&snapshot, service, &self.vm().zone, self.ports().clock.now());
+        let mut ours = zones.into_iter().filter(|zone| snapshot.region_of(zone) == Some(own));
+        ours.find(|zone| {
+            let key = PoolKey { service: service.name.clone(), zone: zone.clone() };
+            self.room_of(&key).is_none_or(|room| room.slots > 0)
+        })
+    }
+
     /// The zones that a request tries, in order; those of the wanted region come first.
     pub fn plan_route(&self, call: &Call, wanted: &RegionName) -> Vec<AvailabilityZoneName> {
         let snapshot = self.snapshot();
@@ -189,7 +202,9 @@
             wanted: snapshot.region_of(&zone) == Some(wanted),
             zone,
         });
-        let (own, others): (Vec<_>, Vec<_>) = views.partition(|view| view.zone == self.vm().zone);
+        let home = self.home_zone(&call.service);
+        let (own, others): (Vec<_>, Vec<_>) =
+            views.partition(|view| Some(&view.zone) == home.as_ref());
         let time = self.zones().shifts().home_time(name, Instant::now()).unwrap_or(FIRST_GUESS);
         plan_zones(own.first(), others, time, &mut rand::rng())
     }
