--- a/crates/adapters/src/peers/mod.rs
+++ b/crates/adapters/src/peers/mod.rs
@@ -1,10 +1,12 @@
 //! Messages between entry VMs over jsonrpsee, and requests handed over by hyper.
 
+mod hello_server;
 mod rpc_peers;
 mod rpc_server;
 mod wire;
 mod wire_exchange;
+mod wire_hello;
 mod wire_lease;
 mod wire_suspects;
 
-pub use self::{rpc_peers::RpcPeers, rpc_server::serve_peers};
+pub use self::{hello_server::serve_greetings, rpc_peers::RpcPeers, rpc_server::serve_peers};
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -3,6 +3,7 @@
 use super::{
     wire::{EXCHANGE, HEARTBEAT, SETTINGS, WireBatch, WireHeartbeat, WireQuery},
     wire_exchange::WireExchange,
+    wire_hello::{HELLO, WireHello},
     wire_lease::{LEASE, WireAsk, WireGrant},
     wire_suspects::{SUSPECTS, WireSuspects},
 };
@@ -26,8 +27,8 @@
     time::Duration,
 };
 use steer::{
-    Body, ControlPart, ControlUsage, Exchange, Heartbeat, PeerError, PeerMessage, PeerReply, Peers,
-    SendError, SettingsBatch,
+    Body, ControlPart, ControlUsage, Exchange, Greeter, Heartbeat, PeerError, PeerMessage,
+    PeerReply, Peers, SendError, SettingsBatch, VmHello,
 };
 
 /// Bytes of a message around its parameters or result: JSON-RPC's envelope and the frame's head.
@@ -191,6 +192,15 @@
     }
 }
 
+#[async_trait]
+impl Greeter for RpcPeers {
+    async fn greet(&self, peer: SocketAddr, hello: &VmHello) -> Result<VmHello, PeerError> {
+        let method = (HELLO, ControlPart::Heartbeats);
+        let reply: WireHello = self.request(peer, method, &WireHello::from(hello)).await?;
+        Ok(reply.into())
+    }
+}
+
 impl Debug for RpcPeers {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.debug_struct("RpcPeers").field("clients", &self.lock().len()).finish()
--- a/crates/adapters/src/telemetry/log_format.rs
+++ b/crates/adapters/src/telemetry/log_format.rs
@@ -11,6 +11,8 @@
 pub enum LogFormat {
     /// One JSON object a line.
     Json,
+    /// One JSON object a line, on standard output.
+    JsonOut,
     /// Text for people.
     #[default]
     Text,
@@ -28,6 +30,10 @@
             let json = slog_json::Json::default(io::stderr()).fuse();
             slog_async::Async::new(json).build()
         }
+        LogFormat::JsonOut => {
+            let json = slog_json::Json::default(io::stdout()).fuse();
+            slog_async::Async::new(json).build()
+        }
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(io::stderr());
             let text = slog_term::FullFormat::new(decorator).build().fuse();
--- a/crates/ragwortswitch/src/command_line.rs
+++ b/crates/ragwortswitch/src/command_line.rs
@@ -3,7 +3,8 @@
 use crate::{
     arguments::{Common, Usage},
     commands::{
-        CheckOptions, EntryOptions, ExplainOptions, LookupOptions, SettingsOptions, StatusOptions,
+        CheckOptions, EntryOptions, ExplainOptions, LookupOptions, RouterOptions, SettingsOptions,
+        StatusOptions,
     },
     report::Report,
 };
@@ -21,6 +22,7 @@
   entry      Run an entry VM
   explain    Explain where a request would go, and why
   lookup     Show which entry VMs a block of clients uses
+  router     Run an entry VM on the users' platform
   settings   Read and write steering settings
   status     Show what an entry VM knows
 
@@ -42,6 +44,8 @@
     Explain(ExplainOptions),
     /// Shows a look-up.
     Lookup(LookupOptions),
+    /// Runs an entry VM on the users' platform.
+    Router(RouterOptions),
     /// Reads and writes settings.
     Settings(SettingsOptions),
     /// Shows the status.
@@ -65,10 +69,11 @@
             "entry" => EntryOptions::parse(parser).map(Self::Entry),
             "explain" => ExplainOptions::parse(parser).map(Self::Explain),
             "lookup" => LookupOptions::parse(parser).map(Self::Lookup),
+            "router" => RouterOptions::parse(parser).map(Self::Router),
             "settings" => SettingsOptions::parse(parser).map(Self::Settings),
             "status" => StatusOptions::parse(parser).map(Self::Status),
             _ => {
-                let known = ["check", "entry", "explain", "lookup", "settings", "status"];
+                let known = ["check", "entry", "explain", "lookup", "router", "settings", "status"];
                 let near = steer::nearest_name(&name, known);
                 Err(Usage::Misused(format!("no command `{name}`; {near}").into()))
             }
@@ -79,7 +84,7 @@
     pub(crate) fn common(&self) -> Option<&Common> {
         match self {
             Self::Check(options) => Some(&options.common),
-            Self::Entry(_) => None,
+            Self::Entry(_) | Self::Router(_) => None,
             Self::Explain(options) => Some(&options.common),
             Self::Lookup(options) => Some(&options.common),
             Self::Settings(options) => Some(&options.common),
@@ -97,16 +102,20 @@
             }
             Self::Explain(options) => options.run().await,
             Self::Lookup(options) => options.run().await,
+            Self::Router(options) => {
+                crate::commands::run_router(&options.settings).await?;
+                Ok(Report::default())
+            }
             Self::Settings(options) => options.run().await,
             Self::Status(options) => options.run().await,
         }
     }
 
-    /// Worker threads.
-    pub(crate) fn threads(&self) -> usize {
+    /// Worker threads beside the main one; with none, the main thread does all.
+    pub(crate) fn threads(&self) -> Option<usize> {
         match self {
-            Self::Entry(options) => options.threads,
-            _ => 1,
+            Self::Entry(options) => Some(options.threads),
+            _ => None,
         }
     }
 }
--- a/crates/ragwortswitch/src/commands/mod.rs
+++ b/crates/ragwortswitch/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod lookup;
 mod put_settings;
 mod run_entry_vm;
+mod run_router;
 mod settings;
 mod status;
 
@@ -15,6 +16,7 @@
     lookup::LookupOptions,
     put_settings::{PutOptions, put_settings},
     run_entry_vm::{EntryOptions, run_entry_vm},
+    run_router::{RouterOptions, run_router},
     settings::SettingsOptions,
     status::StatusOptions,
 };
--- /dev/null
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -0,0 +1,215 @@
+//! `ragwortswitch router`: wires the users' platform to the flows.
+
+use crate::{
+    arguments::{Argument, Common, Usage, unexpected_value, unknown_option},
+    router_settings::RouterSettings,
+};
+use adapters::{
+    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, RpcPeers,
+    open_log, serve_greetings,
+};
+use lexopt::Parser;
+use platform::{
+    PlatformTargets, StoreClient, StoreVms, answer_directory, answer_ready, answer_request,
+    configuration_registry, evacuation_registry, target_registry, vm_registry,
+};
+use slog::{Level, info, warn};
+use std::{
+    env,
+    error::Error,
+    io,
+    path::{Path, PathBuf},
+    str::FromStr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+use steer::{
+    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, NoMeter, Registry, Router,
+    RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm, VmFollower, VmRegistry,
+    follow_registry, greet_fleet,
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+/// Variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "RAGWORTSWITCH_SETTINGS";
+/// How often the targets' registrations are read: they bind within two seconds and more.
+const TARGET_PACE: FollowPace =
+    FollowPace { period: Duration::from_secs(1), wait: Duration::from_secs(2) };
+/// How often rare news is read; a connection that went silent is found after the wait.
+const NEWS_PACE: FollowPace =
+    FollowPace { period: Duration::from_millis(100), wait: Duration::from_secs(5) };
+/// Longest idle time of a caller's connection; above any limit that operators set.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+/// Time for which a stopping VM still takes connections, so that callers with an old directory
+/// answer are served.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// Time kept for the end of the process before it would be killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two calls that register this VM.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
+const HELP: &str = "\
+Runs an entry VM on the users' platform until SIGTERM or SIGINT, then drains it:
+its running requests finish.
+
+Usage: ragwortswitch router [FILE]
+
+FILE holds process settings in JSON with comments; without it, the variable
+RAGWORTSWITCH_SETTINGS names the file.
+";
+
+/// Options of the command.
+#[derive(Debug)]
+pub(crate) struct RouterOptions {
+    pub(crate) settings: PathBuf,
+}
+
+impl RouterOptions {
+    pub(crate) fn parse(parser: &mut Parser) -> Result<Self, Usage> {
+        let mut common = Common::default();
+        let mut settings = env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+        while let Some(argument) = common.next(parser, HELP)? {
+            match argument {
+                Argument::Option(name) => return Err(unknown_option(&name)),
+                Argument::Value(file) if !file.is_empty() => settings = Some(file.into()),
+                Argument::Value(value) => return Err(unexpected_value(value)),
+            }
+        }
+        let settings = settings.ok_or("name a settings file, or set RAGWORTSWITCH_SETTINGS")?;
+        Ok(Self { settings })
+    }
+}
+
+/// Runs an entry VM until SIGTERM or SIGINT, then drains it.
+pub(crate) async fn run_router(path: &Path) -> Result<(), Box<dyn Error>> {
+    let settings = RouterSettings::read(path)?;
+    let level = settings.log_level.as_deref().and_then(|l| Level::from_str(l).ok());
+    let log = open_log(LogFormat::JsonOut, level.unwrap_or(Level::Info));
+    let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_millis();
+    let (vm, state) = Vm::join();
+    let pool = ConnectionPool::new();
+    let parts = RouterParts {
+        grace: settings.grace(),
+        log: log.clone(),
+        ports: RouterPorts {
+            meter: Arc::new(NoMeter),
+            targets: Arc::new(PlatformTargets::new(HttpTargets::new(Arc::clone(&pool)))),
+        },
+        rules: settings.rules(),
+        vm: settings.vm(u64::try_from(incarnation)?),
+        zones: settings.zones.clone(),
+    };
+    let router = Arc::new(Router::new(parts, state.clone()));
+    router.fleet().set_seeds(settings.seeds.iter().copied());
+
+    let control = ListenerControl::new();
+    listen(&settings, &router, &control).await?;
+    let _greetings = serve_greetings(Arc::clone(&router), settings.peers).await?;
+    info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
+
+    let client = StoreClient::new(settings.store);
+    follow_store(&router, &client);
+    let greeter = Arc::new(RpcPeers::new(pool));
+    tokio::spawn(greet_fleet(Arc::clone(&router), greeter, state));
+    let registry = StoreVms::new(&client);
+    let registration = tokio::spawn(register(Arc::clone(&router), registry.clone()));
+
+    let vm = vm.serve();
+    wait_for_stop().await?;
+    info!(log, "vm: stopping"; "connections" => control.connections());
+    registration.abort();
+    router.fleet().leave();
+    let vm = vm.drain();
+    tokio::spawn(withdraw(Arc::clone(&router), registry));
+    sleep(LINGER).await;
+    let left = settings.grace().saturating_sub(LINGER + EXIT_MARGIN);
+    if !control.close(left).await {
+        warn!(log, "vm: connections cut by the stop"; "connections" => control.connections());
+    }
+    vm.stop();
+    info!(log, "vm: stopped");
+    Ok(())
+}
+
+/// Opens the listeners towards callers and the platform.
+async fn listen(
+    settings: &RouterSettings,
+    router: &Arc<Router>,
+    control: &ListenerControl,
+) -> io::Result<()> {
+    let limits = ListenerLimits { head_wait: CALLER_IDLE, ..ListenerLimits::default() };
+    let callers = Listener::bind(settings.callers, limits).await?.controlled(control);
+    let directory = Listener::bind(settings.directory, limits).await?;
+    let ready = Listener::bind(settings.ready, limits).await?;
+    let r = Arc::clone(router);
+    tokio::spawn(callers.serve(move |request, _| {
+        let router = Arc::clone(&r);
+        async move { answer_request(&router, request).await }
+    }));
+    let r = Arc::clone(router);
+    tokio::spawn(directory.serve(move |request, _| {
+        let answer = answer_directory(&r, &request);
+        async move { answer }
+    }));
+    let r = Arc::clone(router);
+    tokio::spawn(ready.serve(move |request, _| {
+        let answer = answer_ready(&r, &request);
+        async move { answer }
+    }));
+    Ok(())
+}
+
+/// Follows the registries of the store, one task each.
+fn follow_store(router: &Arc<Router>, client: &StoreClient) {
+    let returns = StoreReturns::new();
+    let configurations = ConfigurationFollower::new(Arc::clone(router));
+    follow(router, configuration_registry(client), configurations, NEWS_PACE, &returns);
+    let evacuations = EvacuationFollower::new(Arc::clone(router));
+    follow(router, evacuation_registry(client), evacuations, NEWS_PACE, &returns);
+    let targets = TargetFollower::new(Arc::clone(router));
+    follow(router, target_registry(client), targets, TARGET_PACE, &returns);
+    let vms = VmFollower::new(Arc::clone(router));
+    follow(router, vm_registry(client), vms, NEWS_PACE, &returns);
+}
+
+fn follow<T: Send + 'static>(
+    router: &Arc<Router>,
+    registry: impl Registry<T> + 'static,
+    follower: impl Follower<T> + 'static,
+    pace: FollowPace,
+    returns: &StoreReturns,
+) {
+    let log = router.log().clone();
+    let (registry, follower) = (Arc::new(registry), Arc::new(follower));
+    tokio::spawn(follow_registry(registry, follower, pace, returns.clone(), log));
+}
+
+/// Registers this VM, again and again until the store confirms it.
+async fn register(router: Arc<Router>, registry: StoreVms) {
+    while let Err(error) = registry.publish(router.fleet().vm()).await {
+        info!(router.log(), "fleet: registration failed"; "error" => %error);
+        sleep(REGISTER_PAUSE).await;
+    }
+    info!(router.log(), "fleet: registered");
+}
+
+async fn withdraw(router: Arc<Router>, registry: StoreVms) {
+    if let Err(error) = registry.withdraw(router.fleet().vm()).await {
+        // Peers notice the silence of this VM all the same.
+        info!(router.log(), "fleet: registration left behind"; "error" => %error);
+    }
+}
+
+/// Waits until the process is asked to stop.
+async fn wait_for_stop() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/ragwortswitch/src/lib.rs
+++ b/crates/ragwortswitch/src/lib.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod process_settings;
 mod report;
+mod router_settings;
 mod text_diff;
 mod text_table;
 
@@ -48,10 +49,15 @@
 }
 
 fn run(command: &Command, wrap: WrapPeers) -> Result<ExitCode, Box<dyn std::error::Error>> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(command.threads())
-        .enable_all()
-        .build()?;
+    let mut builder = match command.threads() {
+        Some(threads) => {
+            let mut builder = tokio::runtime::Builder::new_multi_thread();
+            builder.worker_threads(threads);
+            builder
+        }
+        None => tokio::runtime::Builder::new_current_thread(),
+    };
+    let runtime = builder.enable_all().build()?;
     let report = runtime.block_on(command.run(wrap))?;
     let json = command.common().is_some_and(|common| common.json);
     let code = print(&report.to_output(json && !report.json.is_null()));
--- /dev/null
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -0,0 +1,80 @@
+//! The process settings of a VM on the users' platform, written by its template.
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
+use steer::{AvailabilityZoneName, BoardRules, RegionName, VmName, VmRecord, parse_jsonc};
+
+/// What the VM learns from its own file: who it is, where it listens, and the bounds.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RouterSettings {
+    /// Address for callers' requests.
+    pub(crate) callers: SocketAddr,
+    /// Requests in a second that a cold target gets above its rate, from all VMs together.
+    pub(crate) cold_burst: f64,
+    /// Factor on a cold target's rate.
+    pub(crate) cold_factor: f64,
+    /// Address of the directory.
+    pub(crate) directory: SocketAddr,
+    /// Seconds between SIGTERM and SIGKILL.
+    pub(crate) grace_s: f64,
+    /// Least level of log lines that is kept: critical, error, warning, info, debug or trace.
+    #[serde(default)]
+    pub(crate) log_level: Option<String>,
+    /// Name of this VM.
+    pub(crate) name: VmName,
+    /// Address for other VMs.
+    pub(crate) peers: SocketAddr,
+    /// Address of the readiness check.
+    pub(crate) ready: SocketAddr,
+    /// Region of this VM.
+    pub(crate) region: RegionName,
+    /// Addresses of VMs that are greeted first.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub(crate) store: SocketAddr,
+    /// Availability zone of this VM.
+    pub(crate) zone: AvailabilityZoneName,
+    /// Region of each availability zone.
+    pub(crate) zones: BTreeMap<AvailabilityZoneName, RegionName>,
+}
+
+impl RouterSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, and line, column, path and remedy of what is wrong.
+    pub(crate) fn read(path: &Path) -> io::Result<Self> {
+        let file = path.display();
+        let text = fs::read_to_string(path)
+            .map_err(|e| io::Error::new(e.kind(), format!("{file}: {e}")))?;
+        parse_jsonc(&text).map_err(|problems| {
+            let lines: Vec<String> = problems.iter().map(|p| format!("{file}:{p}")).collect();
+            io::Error::other(lines.join("\n"))
+        })
+    }
+
+    /// Time between SIGTERM and SIGKILL.
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
+    }
+
+    /// Bounds for cold targets.
+    pub(crate) fn rules(&self) -> BoardRules {
+        BoardRules { cold_burst: self.cold_burst, cold_factor: self.cold_factor }
+    }
+
+    /// This VM; a later start has a higher incarnation.
+    pub(crate) fn vm(&self, incarnation: u64) -> VmRecord {
+        VmRecord {
+            callers: self.callers,
+            incarnation,
+            name: self.name.clone(),
+            peers: self.peers,
+            region: self.region.clone(),
+            zone: self.zone.clone(),
+        }
+    }
+}
--- a/crates/steer/src/errors/error_kind.rs
+++ b/crates/steer/src/errors/error_kind.rs
@@ -44,6 +44,8 @@
     NoRoom,
     /// no service is configured for this host
     NoService,
+    /// this VM has no configuration yet
+    NoSettings,
     /// the platform could not record the idempotency key
     PlatformDown,
     /// the request is malformed or over a limit
@@ -58,7 +60,7 @@
 
 impl ErrorKind {
     /// Every kind, in alphabetical order.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::AlreadyRan,
         Self::AnswerCrossed,
         Self::AnswerCut,
@@ -75,6 +77,7 @@
         Self::Poisoned,
         Self::NoRoom,
         Self::NoService,
+        Self::NoSettings,
         Self::PlatformDown,
         Self::RequestInvalid,
         Self::Stopping,
@@ -106,6 +109,7 @@
             Self::Poisoned => Answer::new(Code::UNPROCESSABLE_ENTITY, Unknown),
             Self::NoRoom => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(1),
             Self::NoService => Answer::new(Code::NOT_FOUND, NotRun),
+            Self::NoSettings => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(1),
             Self::PlatformDown => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(2),
             Self::RequestInvalid => Answer::new(Code::BAD_REQUEST, NotRun),
             Self::Stopping => Answer::new(Code::SERVICE_UNAVAILABLE, NotRun).retry_after(0),
--- /dev/null
+++ b/crates/steer/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! The entry VMs of the fleet, for the directory and for bounds that all share.
+
+mod fleet_view;
+mod vm_hello;
+mod vm_record;
+
+pub use self::{fleet_view::FleetView, vm_hello::VmHello, vm_record::VmRecord};
--- /dev/null
+++ b/crates/steer/src/fleet/vm_hello.rs
@@ -0,0 +1,12 @@
+//! What VMs tell each other.
+
+use super::VmRecord;
+
+/// A greeting between two VMs, and the reply to it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VmHello {
+    /// The sender takes no new callers.
+    pub leaving: bool,
+    /// The sender.
+    pub vm: VmRecord,
+}
--- /dev/null
+++ b/crates/steer/src/flows/follow_registry.rs
@@ -0,0 +1,159 @@
+//! Follows a registry of the store for as long as the process lives.
+
+use super::Backoff;
+use crate::{Change, Listing, Registry, RegistryError};
+use slog::{Logger, info, warn};
+use std::{fmt::Debug, sync::Arc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// Longest pause between two calls of a store that fails; news count within about two seconds.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Takes what a registry holds.
+pub trait Follower<T>: Debug + Send + Sync {
+    /// Takes one change.
+    fn apply(&self, change: Change<T>);
+    /// Notes that the store does not answer.
+    fn lose(&self) {}
+    /// Name of the registry in logs.
+    fn name(&self) -> &'static str;
+    /// Notes that the store answers again.
+    fn regain(&self) {}
+    /// Takes all objects.
+    fn replace(&self, listing: Listing<T>);
+    /// Called after each answer of the store.
+    fn settle(&self) {}
+}
+
+/// How often a registry is read.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowPace {
+    /// Least time from one call to the next.
+    pub period: Duration,
+    /// Longest time that a call waits for a change.
+    pub wait: Duration,
+}
+
+/// Counts how often the store came back, so that one flow that notices wakes the others.
+#[derive(Clone, Debug)]
+pub struct StoreReturns(watch::Sender<u64>);
+
+impl StoreReturns {
+    /// Starts at none.
+    ///
+    /// ```
+    /// assert!(format!("{:?}", steer::StoreReturns::new()).contains("StoreReturns"));
+    /// ```
+    pub fn new() -> Self {
+        Self(watch::Sender::new(0))
+    }
+}
+
+impl Default for StoreReturns {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Lists a registry, then follows its changes; lists again where the history is gone.
+pub async fn follow_registry<T: Send>(
+    registry: Arc<dyn Registry<T>>,
+    follower: Arc<dyn Follower<T>>,
+    pace: FollowPace,
+    returns: StoreReturns,
+    log: Logger,
+) {
+    let mut follow = Follow {
+        backoff: Backoff::new(follower.name()),
+        follower,
+        lost: false,
+        log,
+        pace,
+        registry,
+        returns,
+    };
+    loop {
+        let revision = follow.list().await;
+        follow.watch(revision).await;
+    }
+}
+
+struct Follow<T> {
+    backoff: Backoff,
+    follower: Arc<dyn Follower<T>>,
+    lost: bool,
+    log: Logger,
+    pace: FollowPace,
+    registry: Arc<dyn Registry<T>>,
+    returns: StoreReturns,
+}
+
+impl<T: Send> Follow<T> {
+    /// Lists until the store answers, and gives the revision.
+    async fn list(&mut self) -> u64 {
+        loop {
+            match self.registry.list().await {
+                Ok(listing) => {
+                    self.note_answer();
+                    let revision = listing.revision;
+                    info!(self.log, "store: listed"; "registry" => self.follower.name(),
+                        "objects" => listing.items.len(), "revision" => revision);
+                    self.follower.replace(listing);
+                    self.follower.settle();
+                    return revision;
+                }
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
+    /// Follows changes until the history is gone.
+    async fn watch(&mut self, mut revision: u64) {
+        loop {
+            let started = Instant::now();
+            let mut returned = self.returns.0.subscribe();
+            let answer = tokio::select! {
+                answer = self.registry.watch(revision, self.pace.wait) => answer,
+                _ = returned.changed() => continue,
+            };
+            match answer {
+                Ok(changes) => {
+                    self.note_answer();
+                    revision = changes.revision;
+                    changes.changes.into_iter().for_each(|change| self.follower.apply(change));
+                    self.follower.settle();
+                    sleep_until(started + self.pace.period).await;
+                }
+                Err(RegistryError::Expired) => {
+                    info!(self.log, "store: history gone"; "registry" => self.follower.name(),
+                        "revision" => revision);
+                    return;
+                }
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
+    fn note_answer(&mut self) {
+        self.backoff.reset();
+        if !self.lost {
+            return;
+        }
+        self.lost = false;
+        info!(self.log, "store: answers again"; "registry" => self.follower.name());
+        self.follower.regain();
+        self.returns.0.send_modify(|count| *count += 1);
+    }
+
+    async fn pause(&mut self, error: &RegistryError) {
+        if !self.lost {
+            warn!(self.log, "store: lost"; "registry" => self.follower.name(), "error" => %error);
+            self.lost = true;
+            self.follower.lose();
+        }
+        sleep(self.backoff.fail().min(LONGEST_PAUSE)).await;
+    }
+}
--- /dev/null
+++ b/crates/steer/src/flows/forward_request.rs
@@ -0,0 +1,212 @@
+//! One request from its arrival to the head of its answer, straight to a target.
+
+use super::{Attempt, AttemptError, Refusal};
+use crate::{
+    Body, CallerRequest, ErrorKind, NoSeat, ObjectHash, PlaceQuery, RepeatRule, Replay, Route,
+    Router, Seat, SendPass, ServiceName, TargetIdentity, TargetReport, Verdict, hold_until_end,
+};
+use http::{Request, Response, header::CONTENT_LENGTH};
+use slog::{debug, info};
+use tokio::time::Instant;
+
+/// Most targets that can't be reached before a request is refused; nothing was sent to them.
+const MOST_UNREACHED: u32 = 3;
+/// Seconds after which a caller may try again where no target has room: a request's usual work.
+const ROOM_WAIT: u32 = 1;
+
+/// Serves one request: finds its route, places it on a target of the fleet, and sends it again
+/// where the route, its budget and the target's verdict allow that.
+///
+/// # Errors
+///
+/// A refusal says by its kind whether the request may have run.
+pub async fn forward_request(
+    router: &Router,
+    caller: &CallerRequest,
+    request: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    let arrived = Instant::now();
+    let table = router.routes().ok_or(ErrorKind::NoSettings)?;
+    let route = table.find(&caller.host, &caller.path).ok_or(ErrorKind::NoService)?;
+    let length = request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    if length.zip(table.max_body).is_some_and(|(length, most): (u64, u64)| length > most) {
+        return Err(ErrorKind::BodyTooLarge.into());
+    }
+    let service = route.split.choose();
+    let wait = caller.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    router.note_request(service);
+    let forward = Forward { caller, route, router, service, until: arrived + wait };
+    forward.run(request).await
+}
+
+/// A request on its way.
+struct Forward<'a> {
+    caller: &'a CallerRequest,
+    route: &'a Route,
+    router: &'a Router,
+    service: &'a ServiceName,
+    until: Instant,
+}
+
+/// Where the next try takes its request from.
+enum Supply {
+    /// The request can be made any number of times.
+    Copies(Replay),
+    /// The request streams; it is there until a byte of it was sent.
+    Stream(Option<Request<Body>>),
+}
+
+impl Supply {
+    async fn new(request: Request<Body>, streamed: bool) -> Result<Self, Refusal> {
+        if streamed {
+            return Ok(Self::Stream(Some(request)));
+        }
+        match Replay::read(request).await {
+            Ok(Ok(replay)) => Ok(Self::Copies(replay)),
+            Ok(Err(request)) => Ok(Self::Stream(Some(request))),
+            Err(error) => Err(Refusal::new(ErrorKind::RequestInvalid, error.to_string())),
+        }
+    }
+
+    fn take(&mut self) -> Option<Request<Body>> {
+        match self {
+            Self::Copies(replay) => Some(replay.request()),
+            Self::Stream(request) => request.take(),
+        }
+    }
+
+    /// Takes back a request of which nothing was sent.
+    fn give_back(&mut self, unsent: Request<Body>) {
+        if let Self::Stream(request) = self {
+            *request = Some(unsent);
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        matches!(self, Self::Stream(None))
+    }
+}
+
+/// What became of one try.
+enum Tried {
+    /// The head of the answer has come.
+    Answered(Response<Body>),
+    /// The request may have run, and there is no answer to pass on.
+    Lost(Refusal),
+    /// The target said that it did not run the request.
+    NotRun(Refusal),
+    /// No byte was sent.
+    Unreached(Request<Body>, Refusal),
+}
+
+impl Forward<'_> {
+    async fn run(self, request: Request<Body>) -> Result<Response<Body>, Refusal> {
+        let mut supply = Supply::new(request, self.route.streamed).await?;
+        let object = self.caller.object.as_deref().filter(|_| self.route.sticky);
+        let mut query = PlaceQuery::new(self.service.clone())
+            .homes(self.route.homes.clone())
+            .object(object.map(|object| ObjectHash::new(self.route.name.as_str(), object)))
+            .streamed(self.route.streamed);
+        let (mut sent, mut unreached) = (0, 0);
+        let mut last: Option<Refusal> = None;
+        while let Some(request) = supply.take() {
+            let seat = match self.router.board().place(&query) {
+                Ok(seat) => seat,
+                Err(reason) => return Err(last.unwrap_or_else(|| self.refuse_room(reason))),
+            };
+            query.excluded.insert(seat.target().name.clone());
+            let refusal = match self.try_target(&seat, request).await {
+                Tried::Answered(response) => {
+                    return Ok(response.map(|body| hold_until_end(body, seat)));
+                }
+                Tried::Unreached(request, refusal) => {
+                    supply.give_back(request);
+                    unreached += 1;
+                    if unreached < MOST_UNREACHED {
+                        last = Some(refusal);
+                        continue;
+                    }
+                    return Err(refusal);
+                }
+                Tried::Lost(refusal) if self.route.repeat != RepeatRule::Idempotent => {
+                    return Err(refusal);
+                }
+                Tried::Lost(refusal) | Tried::NotRun(refusal) => refusal,
+            };
+            sent += 1;
+            if sent >= self.route.attempts.max(1) || supply.is_empty() || !self.may_retry() {
+                return Err(refusal);
+            }
+            last = Some(refusal);
+        }
+        Err(last.unwrap_or_else(|| ErrorKind::NoRoom.into()))
+    }
+
+    fn may_retry(&self) -> bool {
+        Instant::now() < self.until && self.router.take_retry(self.service)
+    }
+
+    fn refuse_room(&self, reason: NoSeat) -> Refusal {
+        info!(self.router.log(), "request: refused";
+            "id" => &*self.caller.id, "route" => %self.route.name, "service" => %self.service,
+            "reason" => %reason);
+        Refusal::new(ErrorKind::NoRoom, reason.to_string()).retry_after(ROOM_WAIT)
+    }
+
+    /// Sends the request to a target and reads what its answer's head says.
+    async fn try_target(&self, seat: &Seat, mut request: Request<Body>) -> Tried {
+        let target = seat.target();
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Tried::Lost(ErrorKind::DeadlinePassed.into());
+        }
+        let identity = TargetIdentity { left, name: target.name.clone() };
+        request.extensions_mut().insert(identity);
+        let Some(pass) = SendPass::repeatable(self.route.repeat) else {
+            return Tried::NotRun(ErrorKind::KeyMissing.into());
+        };
+        let attempt = Attempt::new(request).clear(pass);
+        let outcome = attempt.send(&*self.router.ports().targets, target.address, left).await;
+        match outcome {
+            Ok(answered) => self.judge(seat, answered.into_response()),
+            Err(AttemptError::NotSent(attempt, reason)) => {
+                seat.note_lost();
+                self.log_try(seat, &reason);
+                let refusal = Refusal::new(ErrorKind::NoRoom, reason).retry_after(ROOM_WAIT);
+                Tried::Unreached(attempt.into_request(), refusal)
+            }
+            Err(AttemptError::Sent(sent, kind)) => {
+                if kind != ErrorKind::DeadlinePassed {
+                    seat.note_lost();
+                }
+                self.log_try(seat, &kind);
+                Tried::Lost(sent.refuse_unknown(kind))
+            }
+        }
+    }
+
+    fn judge(&self, seat: &Seat, response: Response<Body>) -> Tried {
+        let report = response.extensions().get::<TargetReport>().copied();
+        let (load, verdict) = report.map_or((None, Verdict::Ran), |r| (r.load, r.verdict));
+        let failed = response.status().is_server_error();
+        seat.note_answer(load, failed);
+        match verdict {
+            Verdict::Ran => Tried::Answered(response),
+            Verdict::NotRun => {
+                self.log_try(seat, &"the target refused");
+                Tried::NotRun(Refusal::from(ErrorKind::TargetRefused).retry_after(ROOM_WAIT))
+            }
+            Verdict::Misdirected => {
+                seat.note_gone();
+                self.log_try(seat, &"another target has the address");
+                Tried::NotRun(Refusal::from(ErrorKind::TargetRefused).retry_after(0))
+            }
+        }
+    }
+
+    fn log_try(&self, seat: &Seat, reason: &impl std::fmt::Display) {
+        debug!(self.router.log(), "request: try failed";
+            "id" => &*self.caller.id, "route" => %self.route.name, "target" => %seat.target().name,
+            "reason" => %reason);
+    }
+}
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -5,6 +5,10 @@
 mod backoff;
 mod borrow_room;
 mod call;
+mod follow_registry;
+mod followers;
+mod forward_request;
+mod greet_fleet;
 mod known_answer;
 mod poll_targets;
 mod recorded_body;
@@ -26,6 +30,10 @@
     attempt::{Answered, Attempt, AttemptError, Cleared, Sent, Unsent},
     backoff::Backoff,
     call::{Call, Origin},
+    follow_registry::{FollowPace, Follower, StoreReturns, follow_registry},
+    followers::{ConfigurationFollower, EvacuationFollower, TargetFollower, VmFollower},
+    forward_request::forward_request,
+    greet_fleet::greet_fleet,
     known_answer::REPLAYED_HEADER,
     poll_targets::poll_targets,
     refusal::Refusal,
--- /dev/null
+++ b/crates/steer/src/forwarding/mod.rs
@@ -0,0 +1,11 @@
+//! The state that all requests and flows of an entry VM share when it sends straight to targets.
+
+mod caller_request;
+mod router;
+mod router_parts;
+
+pub use self::{
+    caller_request::CallerRequest,
+    router::Router,
+    router_parts::{RouterParts, RouterPorts},
+};
--- /dev/null
+++ b/crates/steer/src/forwarding/router_parts.rs
@@ -0,0 +1,31 @@
+//! What a router is made of.
+
+use crate::{BoardRules, Meter, Targets, VmRecord};
+use slog::Logger;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// The ports that a router uses.
+#[derive(Clone, Debug)]
+pub struct RouterPorts {
+    /// Counts and times.
+    pub meter: Arc<dyn Meter>,
+    /// Sends to targets.
+    pub targets: Arc<dyn Targets>,
+}
+
+/// Who the VM is, where it stands and which bounds hold.
+#[derive(Clone, Debug)]
+pub struct RouterParts {
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// The log.
+    pub log: Logger,
+    /// The ports.
+    pub ports: RouterPorts,
+    /// Bounds for cold targets.
+    pub rules: BoardRules,
+    /// This VM.
+    pub vm: VmRecord,
+    /// Region of each availability zone.
+    pub zones: BTreeMap<crate::AvailabilityZoneName, crate::RegionName>,
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -19,7 +19,9 @@
 mod choice;
 mod errors;
 mod explain;
+mod fleet;
 mod flows;
+mod forwarding;
 mod lease;
 mod link;
 mod lookup;
@@ -27,17 +29,19 @@
 mod names;
 mod node;
 mod once;
+mod placement;
 mod poison;
 mod pool;
 mod ports;
 mod retry;
+mod routes;
 mod routing;
 mod settings;
 mod shares;
 mod shift;
 
 pub use self::{
-    admission::*, choice::*, errors::*, explain::*, flows::*, lease::*, link::*, lookup::*,
-    membership::*, names::*, node::*, once::*, poison::*, pool::*, ports::*, retry::*, routing::*,
-    settings::*, shares::*, shift::*,
+    admission::*, choice::*, errors::*, explain::*, fleet::*, flows::*, forwarding::*, lease::*,
+    link::*, lookup::*, membership::*, names::*, node::*, once::*, placement::*, poison::*,
+    pool::*, ports::*, retry::*, routes::*, routing::*, settings::*, shares::*, shift::*,
 };
--- a/crates/steer/src/names/kinds.rs
+++ b/crates/steer/src/names/kinds.rs
@@ -17,6 +17,9 @@
 /// Marks the name of a region.
 #[derive(Debug)]
 pub enum RegionKind {}
+/// Marks the name of a route.
+#[derive(Debug)]
+pub enum RouteKind {}
 /// Marks the name of a service.
 #[derive(Debug)]
 pub enum ServiceKind {}
@@ -40,6 +43,8 @@
 pub type MemberName = Name<MemberKind>;
 /// Name of a region.
 pub type RegionName = Name<RegionKind>;
+/// Name of a route.
+pub type RouteName = Name<RouteKind>;
 /// Name of a service.
 pub type ServiceName = Name<ServiceKind>;
 /// Name of a target.
--- a/crates/steer/src/names/mod.rs
+++ b/crates/steer/src/names/mod.rs
@@ -8,8 +8,8 @@
     block::ClientBlock,
     kinds::{
         AvailabilityZoneKind, AvailabilityZoneName, ClassKind, ClassName, FleetKind, FleetName,
-        MemberKind, MemberName, RegionKind, RegionName, ServiceKind, ServiceName, TargetKind,
-        TargetName, TeamKind, TeamName, VmKind, VmName,
+        MemberKind, MemberName, RegionKind, RegionName, RouteKind, RouteName, ServiceKind,
+        ServiceName, TargetKind, TargetName, TeamKind, TeamName, VmKind, VmName,
     },
     name::Name,
 };
--- a/crates/steer/src/once/once_key.rs
+++ b/crates/steer/src/once/once_key.rs
@@ -326,14 +326,15 @@
 }
 
 impl SendPass {
-    /// Allows a request that may be sent more than once; `None` for one that may not.
+    /// Allows a request that needs no idempotency key; `None` for one that does.
     ///
     /// ```
     /// use steer::{RepeatRule, SendPass};
     /// assert!(SendPass::repeatable(RepeatRule::Idempotent).is_some());
+    /// assert!(SendPass::repeatable(RepeatRule::OncePerTry).is_some());
     /// assert!(SendPass::repeatable(RepeatRule::AtMostOnce).is_none());
     /// ```
     pub fn repeatable(rule: RepeatRule) -> Option<Self> {
-        (rule == RepeatRule::Idempotent).then_some(Self { _private: () })
+        (rule != RepeatRule::AtMostOnce).then_some(Self { _private: () })
     }
 }
--- /dev/null
+++ b/crates/steer/src/placement/distance.rs
@@ -0,0 +1,34 @@
+//! How far a target is from this VM.
+
+use crate::{AvailabilityZoneName, RegionName};
+
+/// Distance between two places, in the steps that cost differently.
+///
+/// ```
+/// use steer::Distance;
+/// let here = ("lis-a".into(), "lisboa".into());
+/// assert_eq!(Distance::between(&here, &("lis-a".into(), "lisboa".into())), Distance::Zone);
+/// assert!(Distance::Zone < Distance::Remote);
+/// ```
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// The same availability zone.
+    Zone,
+    /// Another availability zone of the same region.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+impl Distance {
+    /// The distance between two places.
+    pub fn between(
+        here: &(AvailabilityZoneName, RegionName),
+        there: &(AvailabilityZoneName, RegionName),
+    ) -> Self {
+        if here.0 == there.0 {
+            return Self::Zone;
+        }
+        if here.1 == there.1 { Self::Region } else { Self::Remote }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/placement/mod.rs
@@ -0,0 +1,28 @@
+//! Placement: which target of the whole fleet runs a request.
+
+mod distance;
+mod no_seat;
+mod object_hash;
+mod place_query;
+mod seat;
+mod start_window;
+mod target_board;
+mod target_health;
+mod target_load;
+mod target_record;
+mod target_report;
+mod target_state;
+
+pub use self::{
+    distance::Distance,
+    no_seat::NoSeat,
+    object_hash::ObjectHash,
+    place_query::PlaceQuery,
+    seat::Seat,
+    start_window::StartWindow,
+    target_board::{BoardRules, TargetBoard},
+    target_health::TargetHealth,
+    target_load::TargetLoad,
+    target_record::TargetRecord,
+    target_report::{LoadSample, TargetIdentity, TargetReport, Verdict},
+};
--- /dev/null
+++ b/crates/steer/src/placement/no_seat.rs
@@ -0,0 +1,18 @@
+//! Why no target takes a request.
+
+use derive_more::Display;
+
+/// Why a request found no target.
+///
+/// ```
+/// assert_eq!(steer::NoSeat::NoTarget.to_string(), "the service has no usable target");
+/// ```
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum NoSeat {
+    /// Every usable target has reached the bound on new work.
+    #[display("every target of the service is full")]
+    Full,
+    /// The service has no usable target.
+    #[display("the service has no usable target")]
+    NoTarget,
+}
--- /dev/null
+++ b/crates/steer/src/placement/start_window.rs
@@ -0,0 +1,40 @@
+//! Bound on the requests that a cold target gets in a second.
+
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
+
+/// Counts the requests sent to a target within a sliding window.
+///
+/// ```
+/// use tokio::time::Instant;
+/// let (mut window, now) = (steer::StartWindow::default(), Instant::now());
+/// assert!(window.has_room(now, 1));
+/// window.note(now);
+/// assert!(!window.has_room(now, 1));
+/// assert!(window.has_room(now + steer::StartWindow::SPAN, 1));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StartWindow {
+    sent: VecDeque<Instant>,
+}
+
+impl StartWindow {
+    /// Most sends that are remembered.
+    const MOST: usize = 64;
+    /// Length of the window: the second of the bound, and the spread of delays on the way.
+    pub const SPAN: Duration = Duration::from_millis(1_150);
+
+    /// Whether fewer than `most` requests were sent within the window.
+    pub fn has_room(&self, now: Instant, most: u32) -> bool {
+        let recent = self.sent.iter().rev().take_while(|at| now.duration_since(**at) < Self::SPAN);
+        recent.count() < most as usize
+    }
+
+    /// Notes a request that is sent.
+    pub fn note(&mut self, now: Instant) {
+        if self.sent.len() == Self::MOST {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+}
--- /dev/null
+++ b/crates/steer/src/placement/target_state.rs
@@ -0,0 +1,47 @@
+//! All that this VM knows of a target.
+
+use super::{Distance, StartWindow, TargetHealth, TargetLoad, TargetRecord};
+use crate::RegionName;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A target with its load, health and bounds.
+#[derive(Clone, Debug)]
+pub(super) struct TargetState {
+    pub(super) cold_until: Option<Instant>,
+    pub(super) distance: Distance,
+    /// Another target has its address, or the store no longer lists it.
+    pub(super) gone: bool,
+    pub(super) health: TargetHealth,
+    pub(super) load: TargetLoad,
+    pub(super) record: TargetRecord,
+    pub(super) region: RegionName,
+    pub(super) starts: StartWindow,
+}
+
+impl TargetState {
+    pub(super) fn new(record: TargetRecord, region: RegionName, distance: Distance) -> Self {
+        Self {
+            cold_until: None,
+            distance,
+            gone: false,
+            health: TargetHealth::default(),
+            load: TargetLoad::default(),
+            record,
+            region,
+            starts: StartWindow::default(),
+        }
+    }
+
+    /// Bounds new work for a time, as after a start.
+    pub(super) fn chill(&mut self, now: Instant, time: Duration) {
+        let until = now + time;
+        if time > Duration::ZERO && self.cold_until.is_none_or(|cold| cold < until) {
+            self.cold_until = Some(until);
+        }
+    }
+
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+}
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod platform;
 mod platform_error;
+mod registry;
 mod send_error;
 mod targets;
 mod tracer;
@@ -24,6 +25,7 @@
     },
     platform::{Expected, Platform, PlatformObject, PlatformVm, VmKindTag, WatchBatch},
     platform_error::PlatformError,
+    registry::{Change, Changes, Greeter, Listing, Registry, RegistryError, VmRegistry},
     send_error::SendError,
     targets::{LoadError, LoadReport, Targets},
     tracer::{NoTracer, Span, TraceContext, Tracer},
--- /dev/null
+++ b/crates/steer/src/routes/mod.rs
@@ -0,0 +1,10 @@
+//! Routes: which service runs a request, and under which rules.
+
+mod route;
+mod route_table;
+mod service_rules;
+mod service_split;
+
+pub use self::{
+    route::Route, route_table::RouteTable, service_rules::ServiceRules, service_split::ServiceSplit,
+};
--- a/crates/steer/src/settings/class_settings.rs
+++ b/crates/steer/src/settings/class_settings.rs
@@ -32,6 +32,8 @@
     AtMostOnce,
     /// The request is idempotent.
     Idempotent,
+    /// The request runs at most once, and its caller sends each try under an id of its own.
+    OncePerTry,
 }
 
 /// Which requests belong to a class.
