Keep an object on four targets and refuse what would wait too long

Also, pipelined reads waited for the one before, and a caller that left with pipelined requests unread was not noticed (GONE). Change: placement compares the four targets that rank best for the object; a request that would wait past half its route's objective is refused at once with the time until there is room. Connections are read ahead of hyper.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -1,6 +1,11 @@
 //! Accepts connections, one task each.
 
-use super::{ListenerControl, ListenerPhase, to_body, write_limit::WriteLimit};
+use super::{
+    ListenerControl, ListenerPhase,
+    early_stream::{Ahead, EarlyStream, Waiting},
+    to_body,
+    write_limit::WriteLimit,
+};
 use http::{Request, Response, Version};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -9,6 +14,8 @@
 };
 use std::{
     convert::Infallible,
+    fmt::{self, Debug, Formatter},
+    future::poll_fn,
     io,
     net::SocketAddr,
     pin::pin,
@@ -18,11 +25,15 @@
     },
     time::Duration,
 };
-use steer::Body;
+use steer::{Body, empty_body};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
 };
+use tokio_util::task::AbortOnDropHandle;
+
+/// Tells whether a pipelined request may be started while an earlier one is under way.
+pub type EarlyFilter = Arc<dyn Fn(&Request<()>) -> bool + Send + Sync>;
 
 /// Limits of a listener.
 ///
@@ -69,13 +80,19 @@
 }
 
 /// A bound socket with its limits.
-#[derive(Debug)]
 pub struct Listener {
     control: ListenerControl,
+    early: Option<EarlyFilter>,
     limits: ListenerLimits,
     socket: TcpListener,
 }
 
+impl Debug for Listener {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Listener").field("socket", &self.socket).finish_non_exhaustive()
+    }
+}
+
 impl Listener {
     /// Binds an address.
     ///
@@ -84,7 +101,7 @@
     /// Where the address can't be bound.
     pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Self> {
         let control = ListenerControl::new();
-        Ok(Self { control, limits, socket: TcpListener::bind(address).await? })
+        Ok(Self { control, early: None, limits, socket: TcpListener::bind(address).await? })
     }
 
     /// Puts the connections under a control that other listeners may share.
@@ -93,6 +110,13 @@
         self
     }
 
+    /// Starts pipelined requests without a body early where the filter allows it; their answers
+    /// keep their order.
+    pub fn early(mut self, filter: EarlyFilter) -> Self {
+        self.early = Some(filter);
+        self
+    }
+
     /// The bound address.
     ///
     /// # Errors
@@ -114,9 +138,10 @@
             match self.socket.accept().await {
                 Ok((stream, caller)) => {
                     let (handler, limits) = (handler.clone(), self.limits);
+                    let early = self.early.clone();
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
-                        serve_connection(stream, caller, handler, limits, phase).await;
+                        serve_connection(stream, caller, handler, limits, phase, early).await;
                         drop(permit);
                     });
                 }
@@ -133,6 +158,7 @@
     handler: H,
     limits: ListenerLimits,
     mut phase: watch::Receiver<ListenerPhase>,
+    early: Option<EarlyFilter>,
 ) where
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -143,10 +169,26 @@
     }
     let multiplexed = Arc::new(AtomicBool::new(false));
     let seen = Arc::clone(&multiplexed);
+    let stream: EarlyStream<AbortOnDropHandle<Response<Body>>> =
+        EarlyStream::new(WriteLimit::new(stream, limits.write_wait));
+    let start = |head: &Request<()>| {
+        let allowed = early.as_ref().is_some_and(|filter| filter(head));
+        let request = head.clone().map(|()| empty_body());
+        allowed.then(|| AbortOnDropHandle::new(tokio::spawn(handler(request, caller))))
+    };
+    let (waiting, serve) = (stream.clone(), handler.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         seen.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
-        let answer = handler(request.map(to_body), caller);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let (waiting, serve) = (waiting.next(), serve.clone());
+        async move {
+            if let Waiting::Started(head, answer) = waiting
+                && is_same(&head, &request)
+                && let Ok(answer) = answer.await
+            {
+                return Ok::<_, Infallible>(answer);
+            }
+            Ok(serve(request.map(to_body), caller).await)
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -157,11 +199,16 @@
         .max_headers(limits.max_headers);
     builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_head as u32);
     // An error ends this connection only, and its request's body tells the flow.
-    let stream = TokioIo::new(WriteLimit::new(stream, limits.write_wait));
-    let mut connection = pin!(builder.serve_connection(stream, service));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
     loop {
         tokio::select! {
+            biased;
             _ended = connection.as_mut() => return,
+            ahead = poll_fn(|cx| stream.poll_ahead(cx, start)) => match ahead {
+                Ahead::Data => continue,
+                // The caller has left: its requests end here, and their targets are told.
+                Ahead::Ended => return,
+            },
             Ok(()) = phase.changed() => {}
         }
         let now = *phase.borrow_and_update();
@@ -171,3 +218,10 @@
         }
     }
 }
+
+/// Whether a request that was started early is the one that hyper has read.
+fn is_same(head: &Request<()>, request: &Request<Incoming>) -> bool {
+    head.method() == request.method()
+        && head.uri() == request.uri()
+        && head.headers() == request.headers()
+}
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP by hyper: connections, listeners, headers and bodies.
 
 mod connection_pool;
+mod early_stream;
 mod hop_headers;
 mod http_targets;
 mod incoming_body;
@@ -14,6 +15,6 @@
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
-    listener::{Listener, ListenerLimits},
+    listener::{EarlyFilter, Listener, ListenerLimits},
     listener_control::{ListenerControl, ListenerPhase},
 };
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -11,7 +11,7 @@
 use lexopt::Parser;
 use platform::{
     PlatformTargets, StoreClient, StoreVms, answer_directory, answer_ready, answer_request,
-    configuration_registry, evacuation_registry, target_registry, vm_registry,
+    configuration_registry, evacuation_registry, may_start_early, target_registry, vm_registry,
 };
 use slog::{Level, info, warn};
 use std::{
@@ -145,6 +145,8 @@
     let directory = Listener::bind(settings.directory, limits).await?;
     let ready = Listener::bind(settings.ready, limits).await?;
     let r = Arc::clone(router);
+    let callers = callers.early(Arc::new(move |head| may_start_early(&r, head)));
+    let r = Arc::clone(router);
     tokio::spawn(callers.serve(move |request, _| {
         let router = Arc::clone(&r);
         async move { answer_request(&router, request).await }
--- a/crates/steer/src/admission/admit_error.rs
+++ b/crates/steer/src/admission/admit_error.rs
@@ -44,6 +44,6 @@
     /// assert_eq!(refusal.answer().retry_after, Some(7));
     /// ```
     pub fn explain(&self, refusal: Refusal) -> Refusal {
-        refusal.retry_after(self.retry_after())
+        refusal.retry_after(std::time::Duration::from_secs(self.retry_after().into()))
     }
 }
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -7,12 +7,19 @@
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
 use slog::{debug, info};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Most targets that can't be reached before a request is refused; nothing was sent to them.
 const MOST_UNREACHED: u32 = 3;
-/// Seconds after which a caller may try again where no target has room: a request's usual work.
-const ROOM_WAIT: u32 = 1;
+/// Longest time after which a caller is told to try again where no target has room.
+const ROOM_WAIT: Duration = Duration::from_secs(1);
+/// Least time after which a caller is told to try again: a part of a request's usual work.
+const LEAST_ROOM_WAIT: Duration = Duration::from_millis(100);
+
+/// Part of a route's objective that a request may wait at a target. One that waits longer is
+/// late, and makes late those behind it.
+const PATIENCE: f64 = 0.5;
 
 /// Serves one request: finds its route, places it on a target of the fleet, and sends it again
 /// where the route, its budget and the target's verdict allow that.
@@ -106,6 +113,7 @@
         let mut query = PlaceQuery::new(self.service.clone())
             .homes(self.route.homes.clone())
             .object(object.map(|object| ObjectHash::new(self.route.name.as_str(), object)))
+            .patience(self.route.objective.mul_f64(PATIENCE))
             .streamed(self.route.streamed);
         let (mut sent, mut unreached) = (0, 0);
         let mut last: Option<Refusal> = None;
@@ -150,7 +158,11 @@
         info!(self.router.log(), "request: refused";
             "id" => &*self.caller.id, "route" => %self.route.name, "service" => %self.service,
             "reason" => %reason);
-        Refusal::new(ErrorKind::NoRoom, reason.to_string()).retry_after(ROOM_WAIT)
+        let wait = match reason {
+            NoSeat::Full(wait) => wait.clamp(LEAST_ROOM_WAIT, ROOM_WAIT),
+            NoSeat::NoTarget => ROOM_WAIT,
+        };
+        Refusal::new(ErrorKind::NoRoom, reason.to_string()).retry_after(wait)
     }
 
     /// Sends the request to a target and reads what its answer's head says.
@@ -191,7 +203,12 @@
         let failed = response.status().is_server_error();
         seat.note_answer(load, failed);
         match verdict {
-            Verdict::Ran => Tried::Answered(response),
+            Verdict::Ran => {
+                if !failed {
+                    seat.note_work();
+                }
+                Tried::Answered(response)
+            }
             Verdict::NotRun => {
                 self.log_try(seat, &"the target refused");
                 Tried::NotRun(Refusal::from(ErrorKind::TargetRefused).retry_after(ROOM_WAIT))
@@ -199,7 +216,7 @@
             Verdict::Misdirected => {
                 seat.note_gone();
                 self.log_try(seat, &"another target has the address");
-                Tried::NotRun(Refusal::from(ErrorKind::TargetRefused).retry_after(0))
+                Tried::NotRun(Refusal::from(ErrorKind::TargetRefused).retry_after(LEAST_ROOM_WAIT))
             }
         }
     }
--- a/crates/steer/src/flows/refusal.rs
+++ b/crates/steer/src/flows/refusal.rs
@@ -1,6 +1,7 @@
 //! A refusal on its way to the caller.
 
 use crate::{Answer, ErrorKind};
+use std::time::Duration;
 
 /// Why a request gets no answer from a target.
 ///
@@ -15,8 +16,8 @@
     pub detail: String,
     /// Which of the closed list of errors it is.
     pub kind: ErrorKind,
-    /// Seconds after which the caller may try again, where that is known better than by kind.
-    pub wait: Option<u32>,
+    /// Time after which the caller may try again, where that is known better than by kind.
+    pub wait: Option<Duration>,
 }
 
 impl Refusal {
@@ -30,19 +31,21 @@
         Self { detail: detail.into(), kind, wait: None }
     }
 
-    /// Sets the seconds after which the caller may try again.
+    /// Sets the time after which the caller may try again.
     ///
     /// ```
     /// use steer::{ErrorKind, Refusal};
-    /// let refusal = Refusal::from(ErrorKind::NoRoom).retry_after(7);
+    /// let wait = std::time::Duration::from_millis(6_300);
+    /// let refusal = Refusal::from(ErrorKind::NoRoom).retry_after(wait);
     /// assert_eq!(refusal.answer().retry_after, Some(7));
     /// ```
-    pub fn retry_after(mut self, seconds: u32) -> Self {
-        self.wait = Some(seconds);
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.wait = Some(wait);
         self
     }
 
-    /// The answer that the table gives for the kind, with the refusal's own waiting time.
+    /// The answer that the table gives for the kind, with the refusal's own waiting time in whole
+    /// seconds.
     ///
     /// ```
     /// use steer::{ErrorKind, Outcome, Refusal};
@@ -50,7 +53,7 @@
     /// ```
     pub fn answer(&self) -> Answer {
         let answer = self.kind.answer();
-        self.wait.map_or(answer, |seconds| answer.retry_after(seconds))
+        self.wait.map_or(answer, |wait| answer.retry_after(wait.as_secs_f64().ceil() as u32))
     }
 }
 
--- a/crates/steer/src/placement/distance.rs
+++ b/crates/steer/src/placement/distance.rs
@@ -1,6 +1,7 @@
 //! How far a target is from this VM.
 
 use crate::{AvailabilityZoneName, RegionName};
+use std::time::Duration;
 
 /// Distance between two places, in the steps that cost differently.
 ///
@@ -31,4 +32,18 @@
         }
         if here.1 == there.1 { Self::Region } else { Self::Remote }
     }
+
+    /// Usual time to the place and back.
+    ///
+    /// ```
+    /// use steer::Distance;
+    /// assert!(Distance::Zone.round_trip() < Distance::Remote.round_trip());
+    /// ```
+    pub fn round_trip(self) -> Duration {
+        match self {
+            Self::Zone => Duration::from_millis(1),
+            Self::Region => Duration::from_millis(10),
+            Self::Remote => Duration::from_millis(50),
+        }
+    }
 }
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod target_record;
 mod target_report;
 mod target_state;
+mod work_time;
 
 pub use self::{
     distance::Distance,
@@ -25,4 +26,5 @@
     target_load::TargetLoad,
     target_record::TargetRecord,
     target_report::{LoadSample, TargetIdentity, TargetReport, Verdict},
+    work_time::WorkTime,
 };
--- a/crates/steer/src/placement/no_seat.rs
+++ b/crates/steer/src/placement/no_seat.rs
@@ -1,6 +1,7 @@
 //! Why no target takes a request.
 
 use derive_more::Display;
+use std::time::Duration;
 
 /// Why a request found no target.
 ///
@@ -9,9 +10,9 @@
 /// ```
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum NoSeat {
-    /// Every usable target has reached the bound on new work.
+    /// Every usable target has reached the bound on new work; there may be room after a time.
     #[display("every target of the service is full")]
-    Full,
+    Full(Duration),
     /// The service has no usable target.
     #[display("the service has no usable target")]
     NoTarget,
--- a/crates/steer/src/placement/place_query.rs
+++ b/crates/steer/src/placement/place_query.rs
@@ -2,7 +2,7 @@
 
 use super::ObjectHash;
 use crate::{RegionName, ServiceName, TargetName};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 /// A request that looks for a target.
 ///
@@ -19,6 +19,8 @@
     pub homes: BTreeSet<RegionName>,
     /// The object that the request is about.
     pub object: Option<ObjectHash>,
+    /// Longest wait at a target that is of use.
+    pub patience: Duration,
     /// Service that runs the request.
     pub service: ServiceName,
     /// The body is large.
@@ -32,6 +34,7 @@
             excluded: BTreeSet::new(),
             homes: BTreeSet::new(),
             object: None,
+            patience: Duration::MAX,
             service: service.into(),
             streamed: false,
         }
@@ -49,6 +52,12 @@
         self
     }
 
+    /// Sets the longest wait at a target that is of use.
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Sets whether the body is large.
     pub fn streamed(mut self, streamed: bool) -> Self {
         self.streamed = streamed;
--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -1,7 +1,8 @@
 //! The targets of the whole fleet, and the choice among them.
 
 use super::{
-    Distance, LoadSample, NoSeat, PlaceQuery, Seat, TargetRecord, target_state::TargetState,
+    Distance, LoadSample, NoSeat, PlaceQuery, Seat, TargetRecord, WorkTime,
+    target_state::TargetState,
 };
 use crate::{AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName};
 use std::{
@@ -41,6 +42,7 @@
     targets: BTreeMap<ServiceName, BTreeMap<TargetName, TargetState>>,
     /// Live VMs, this one included.
     vms: u32,
+    work: BTreeMap<ServiceName, WorkTime>,
 }
 
 /// The targets of all services, shared by all requests of this VM.
@@ -65,16 +67,18 @@
 }
 
 impl TargetBoard {
-    /// Cost of an object's least preferred target, in the unit of [`Self::OVERLOAD`].
-    const SPREAD: f64 = 2.0;
-    /// Cost of a request that waits at a target.
-    const OVERLOAD: f64 = 0.5;
-    /// Cost of a target whose every answer fails.
-    const FAILURES: f64 = 4.0;
-    /// Cost of work that takes twice as long.
-    const SLOWNESS: f64 = 0.3;
+    /// Targets on which an object's requests meet, so that it stays warm there.
+    pub const REPLICAS: usize = 4;
+    /// Cost of the next replica of an object, in parts of a usual work time.
+    const NEXT_REPLICA: f64 = 0.15;
+    /// Cost of a target whose every answer fails, in parts of a usual work time.
+    const FAILURES: f64 = 8.0;
     /// Cost of a large body that leaves its availability zone.
-    const CROSSING: f64 = 1.5;
+    const CROSS_ZONE: Duration = Duration::from_millis(200);
+    /// Cost of a large body that leaves its region.
+    const CROSS_REGION: Duration = Duration::from_millis(400);
+    /// Time after which a cold target takes another request.
+    const COLD_PAUSE: Duration = Duration::from_millis(500);
     /// Time for which a target that could not be reached is taken for a cold one.
     const SUSPICION: Duration = Duration::from_secs(3);
 
@@ -173,23 +177,34 @@
         let mut inner = self.lock();
         let inner = &mut *inner;
         let cold_most = self.cold_most(inner, &query.service);
+        let work = inner.work.get(&query.service).copied().unwrap_or_default().get();
         let targets = inner.targets.get_mut(&query.service).ok_or(NoSeat::NoTarget)?;
-        let mut best: Option<(f64, &mut TargetState)> = None;
-        let mut reason = NoSeat::NoTarget;
-        for state in targets.values_mut() {
-            if !is_usable(state, query, &inner.evacuated, now) {
-                continue;
-            }
-            if state.is_cold(now) && !state.starts.has_room(now, cold_most) {
-                reason = NoSeat::Full;
-                continue;
-            }
-            let score = score(state, query, now);
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                best = Some((score, state));
-            }
+        let mut usable: Vec<(f64, &mut TargetState)> = targets
+            .values_mut()
+            .filter(|state| is_usable(state, query, &inner.evacuated, now))
+            .map(|state| (rank(state, query), state))
+            .collect();
+        if usable.is_empty() {
+            return Err(NoSeat::NoTarget);
+        }
+        usable.retain(|(_, state)| !state.is_cold(now) || state.starts.has_room(now, cold_most));
+        if query.object.is_some() && !query.streamed {
+            usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+            usable.truncate(Self::REPLICAS);
+        }
+        let costs = usable.into_iter().enumerate().map(|(place, (_, state))| {
+            let wait = state.wait(now, work);
+            (wait + cost(state, query, place, work, now), wait, state)
+        });
+        let best = costs.min_by(|(a, _, _), (b, _, _)| a.total_cmp(b));
+        let Some((_, wait, state)) = best else {
+            return Err(NoSeat::Full(Self::COLD_PAUSE));
+        };
+        let most = query.patience.as_secs_f64();
+        if wait > most {
+            return Err(NoSeat::Full(Duration::from_secs_f64(wait - most)));
         }
-        let (_, state) = best.ok_or(reason)?;
+        let crowd = state.crowd(now);
         state.load.begin();
         state.starts.note(now);
         let place = Place {
@@ -197,7 +212,7 @@
             name: state.record.name.clone(),
             service: query.service.clone(),
         };
-        Ok(Seat::new(Arc::clone(self), place, state.record.clone()))
+        Ok(Seat::new(Arc::clone(self), place, state.record.clone(), crowd))
     }
 
     /// Requests within a window that this VM may send to a cold target of a service.
@@ -219,6 +234,11 @@
         self.with_state(place, |state| state.load.end());
     }
 
+    /// Takes the time of one request's work at a service.
+    pub(super) fn note_work(&self, place: &Place, time: Duration) {
+        self.lock().work.entry(place.service.clone()).or_default().note(time);
+    }
+
     pub(super) fn note_answer(&self, place: &Place, load: Option<LoadSample>, failed: bool) {
         self.with_state(place, |state| {
             state.health.note_answer(failed);
@@ -255,21 +275,22 @@
         && (query.homes.is_empty() || query.homes.contains(&state.region))
 }
 
-/// Cost of one more request at a target; lower is better.
-fn score(state: &TargetState, query: &PlaceQuery, now: Instant) -> f64 {
-    let rank = query.object.map_or(0.0, |object| object.rank(state.record.name.as_str()));
-    let over = (state.load.requests(now) + 1.0 - f64::from(state.record.slots)).max(0.0);
-    let mut score = rank * TargetBoard::SPREAD
-        + over * TargetBoard::OVERLOAD
-        + (state.load.slowness(now) - 1.0) * TargetBoard::SLOWNESS
-        + state.health.failed() * TargetBoard::FAILURES;
-    score += match state.distance {
-        Distance::Zone => 0.0,
-        Distance::Region => 0.045,
-        Distance::Remote => 0.15,
+/// Rank of a target for the query's object; lower is preferred.
+fn rank(state: &TargetState, query: &PlaceQuery) -> f64 {
+    query.object.map_or(0.0, |object| object.rank(state.record.name.as_str()))
+}
+
+/// Cost of a target beside the wait there, in seconds; lower is better.
+fn cost(state: &TargetState, query: &PlaceQuery, place: usize, work: f64, now: Instant) -> f64 {
+    let replica = if query.streamed { 0.0 } else { place as f64 * TargetBoard::NEXT_REPLICA };
+    let pace = state.load.slowness(now) - 1.0;
+    let failures = state.health.failed() * TargetBoard::FAILURES;
+    let crossing = match state.distance {
+        _ if !query.streamed => Duration::ZERO,
+        Distance::Zone => Duration::ZERO,
+        Distance::Region => TargetBoard::CROSS_ZONE,
+        Distance::Remote => TargetBoard::CROSS_REGION,
     };
-    if query.streamed && state.distance != Distance::Zone {
-        score += TargetBoard::CROSSING;
-    }
-    score
+    let travel = state.distance.round_trip() + crossing;
+    work * (replica + pace + failures) + travel.as_secs_f64()
 }
--- a/crates/steer/src/placement/target_load.rs
+++ b/crates/steer/src/placement/target_load.rs
@@ -25,7 +25,7 @@
 
 impl TargetLoad {
     /// Time in which a report loses two thirds of its weight; about twice the usual work.
-    const FADE: Duration = Duration::from_secs(1);
+    const FADE: Duration = Duration::from_secs(2);
 
     /// Notes that a request is sent.
     pub fn begin(&mut self) {
--- a/crates/steer/src/placement/target_state.rs
+++ b/crates/steer/src/placement/target_state.rs
@@ -44,4 +44,14 @@
     pub(super) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
+
+    /// Requests at the target, one more included, in parts of its slots; 1 at least.
+    pub(super) fn crowd(&self, now: Instant) -> f64 {
+        ((self.load.requests(now) + 1.0) / f64::from(self.record.slots.max(1))).max(1.0)
+    }
+
+    /// Time in seconds that one more request would wait, where work takes `work` seconds.
+    pub(super) fn wait(&self, now: Instant, work: f64) -> f64 {
+        (self.crowd(now) - 1.0) * work * self.load.slowness(now)
+    }
 }
