Tell an outage of the store from a cut of this VM alone

Change: greetings say whether their sender has lost the store; targets whose registration lapsed are kept for two seconds only where most VMs that were heard meanwhile had lost it. The follower's time is kept by the flow. Ruled out: any single VM as a witness, as others may be cut off as well.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -26,13 +26,19 @@
 /// ```
 /// assert_eq!(adapters::ConnectionPool::new().idle(), 0);
 /// ```
-#[derive(Default)]
 pub struct ConnectionPool {
+    connect_wait: Duration,
     idle: Mutex<Idle>,
 }
 
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self { connect_wait: Self::CONNECT_WAIT, idle: Mutex::default() }
+    }
+}
+
 impl ConnectionPool {
-    /// Longest time to set up a connection.
+    /// Longest time to set up a connection, where the pool's maker sets no other.
     pub const CONNECT_WAIT: Duration = Duration::from_secs(1);
     /// Idle time after which a connection is closed.
     pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
@@ -49,6 +55,16 @@
         Arc::default()
     }
 
+    /// Makes a pool that waits so long for a connection to be set up.
+    ///
+    /// ```
+    /// let pool = adapters::ConnectionPool::with_connect_wait(std::time::Duration::from_millis(300));
+    /// assert_eq!(pool.idle(), 0);
+    /// ```
+    pub fn with_connect_wait(wait: Duration) -> Arc<Self> {
+        Arc::new(Self { connect_wait: wait, ..Self::default() })
+    }
+
     /// Number of idle connections.
     ///
     /// ```
@@ -119,7 +135,7 @@
                 return Ok((connection, true));
             }
         }
-        let stream = timeout(Self::CONNECT_WAIT, TcpStream::connect(address))
+        let stream = timeout(self.connect_wait, TcpStream::connect(address))
             .await
             .map_err(|_| "connect timed out".to_owned())?
             .map_err(|e| e.to_string())?;
--- a/crates/adapters/src/peers/wire_hello.rs
+++ b/crates/adapters/src/peers/wire_hello.rs
@@ -15,6 +15,8 @@
     l: bool,
     n: String,
     r: String,
+    #[serde(default)]
+    s: bool,
     z: String,
 }
 
@@ -27,6 +29,7 @@
             l: hello.leaving,
             n: vm.name.to_string(),
             r: vm.region.to_string(),
+            s: hello.store_lost,
             z: vm.zone.to_string(),
         }
     }
@@ -43,6 +46,6 @@
             region: wire.r.into(),
             zone: wire.z.into(),
         };
-        Self { leaving: wire.l, vm }
+        Self { leaving: wire.l, store_lost: wire.s, vm }
     }
 }
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -35,12 +35,25 @@
 
 /// Variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "RAGWORTSWITCH_SETTINGS";
-/// How often the targets' registrations are read: they bind within two seconds and more.
-const TARGET_PACE: FollowPace =
-    FollowPace { period: Duration::from_secs(1), wait: Duration::from_secs(2) };
+/// How often the targets' registrations are read: they bind within two seconds and more. This
+/// flow also finds out when the store is back.
+const TARGET_PACE: FollowPace = FollowPace {
+    pause: Duration::from_millis(400),
+    period: Duration::from_secs(1),
+    wait: Duration::from_secs(3),
+};
 /// How often rare news is read; a connection that went silent is found after the wait.
-const NEWS_PACE: FollowPace =
-    FollowPace { period: Duration::from_millis(100), wait: Duration::from_secs(5) };
+const NEWS_PACE: FollowPace = FollowPace {
+    pause: Duration::from_secs(3),
+    period: Duration::from_millis(100),
+    wait: Duration::from_secs(5),
+};
+/// How often the entry VMs' registrations are read; greetings tell the news sooner.
+const VM_PACE: FollowPace = FollowPace {
+    pause: Duration::from_secs(5),
+    period: Duration::from_secs(1),
+    wait: Duration::from_secs(20),
+};
 /// Longest idle time of a caller's connection; above any limit that operators set.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 /// Time for which a stopping VM still takes connections, so that callers with an old directory
@@ -174,7 +187,7 @@
     let targets = TargetFollower::new(Arc::clone(router));
     follow(router, target_registry(client), targets, TARGET_PACE, &returns);
     let vms = VmFollower::new(Arc::clone(router));
-    follow(router, vm_registry(client), vms, NEWS_PACE, &returns);
+    follow(router, vm_registry(client), vms, VM_PACE, &returns);
 }
 
 fn follow<T: Send + 'static>(
--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -14,6 +14,8 @@
 struct Member {
     heard: Option<Instant>,
     leaving: bool,
+    /// When the VM last said that it does not reach the store.
+    lost: Option<Instant>,
     vm: VmRecord,
 }
 
@@ -29,6 +31,8 @@
     leaving: bool,
     members: BTreeMap<VmName, Member>,
     seeds: BTreeSet<SocketAddr>,
+    /// Since when this VM does not reach the store.
+    store_lost: Option<Instant>,
 }
 
 /// The entry VMs that this one knows, and when it last heard each.
@@ -74,7 +78,9 @@
 
     /// What this VM tells others.
     pub fn hello(&self) -> VmHello {
-        VmHello { leaving: self.lock().leaving, vm: self.vm.clone() }
+        let inner = self.lock();
+        let store_lost = inner.store_lost.is_some();
+        VmHello { leaving: inner.leaving, store_lost, vm: self.vm.clone() }
     }
 
     /// Takes this VM out of all directories.
@@ -96,7 +102,8 @@
         let mut inner = self.lock();
         let known = inner.members.get(&vm.name);
         if known.is_none_or(|member| member.vm.incarnation < vm.incarnation) {
-            inner.members.insert(vm.name.clone(), Member { heard: None, leaving: false, vm });
+            let member = Member { heard: None, leaving: false, lost: None, vm };
+            inner.members.insert(member.vm.name.clone(), member);
         }
     }
 
@@ -117,8 +124,26 @@
         if known.is_some_and(|member| member.vm.incarnation > hello.vm.incarnation) {
             return;
         }
-        let heard = Some(Instant::now());
-        inner.members.insert(name, Member { heard, leaving: hello.leaving, vm: hello.vm });
+        let now = Instant::now();
+        let lost = if hello.store_lost { Some(now) } else { known.and_then(|member| member.lost) };
+        let member = Member { heard: Some(now), leaving: hello.leaving, lost, vm: hello.vm };
+        inner.members.insert(name, member);
+    }
+
+    /// Notes that this VM does not reach the store.
+    pub fn note_store_lost(&self) {
+        self.lock().store_lost.get_or_insert_with(Instant::now);
+    }
+
+    /// Notes that this VM reaches the store again, and tells whether the store itself was away:
+    /// most of the VMs that were heard meanwhile had lost it too.
+    pub fn note_store_back(&self) -> bool {
+        let mut inner = self.lock();
+        let Some(since) = inner.store_lost.take() else { return false };
+        let meanwhile = |at: Option<Instant>| at.is_some_and(|at| at >= since);
+        let lost = inner.members.values().filter(|m| meanwhile(m.lost)).count();
+        let heard = inner.members.values().filter(|m| meanwhile(m.heard)).count();
+        2 * lost > heard
     }
 
     /// Notes that a VM refuses connections.
--- a/crates/steer/src/fleet/vm_hello.rs
+++ b/crates/steer/src/fleet/vm_hello.rs
@@ -7,6 +7,8 @@
 pub struct VmHello {
     /// The sender takes no new callers.
     pub leaving: bool,
+    /// The sender does not reach the store.
+    pub store_lost: bool,
     /// The sender.
     pub vm: VmRecord,
 }
--- a/crates/steer/src/flows/follow_registry.rs
+++ b/crates/steer/src/flows/follow_registry.rs
@@ -9,13 +9,17 @@
     time::{Instant, sleep, sleep_until},
 };
 
-/// Longest pause between two calls of a store that fails; news count within about two seconds.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Failed calls in a row after which the store counts as lost; a watch may be cut at any time.
+const MOST_FAILURES: u32 = 2;
 
 /// Takes what a registry holds.
 pub trait Follower<T>: Debug + Send + Sync {
     /// Takes one change.
     fn apply(&self, change: Change<T>);
+    /// When `settle` is due, at the latest.
+    fn due(&self) -> Option<Instant> {
+        None
+    }
     /// Notes that the store does not answer.
     fn lose(&self) {}
     /// Name of the registry in logs.
@@ -24,13 +28,16 @@
     fn regain(&self) {}
     /// Takes all objects.
     fn replace(&self, listing: Listing<T>);
-    /// Called after each answer of the store.
+    /// Called after each answer of the store, and when it is due.
     fn settle(&self) {}
 }
 
 /// How often a registry is read.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowPace {
+    /// Longest pause between two calls while the store fails; another flow that reaches it ends
+    /// the pause.
+    pub pause: Duration,
     /// Least time from one call to the next.
     pub period: Duration,
     /// Longest time that a call waits for a change.
@@ -68,8 +75,8 @@
 ) {
     let mut follow = Follow {
         backoff: Backoff::new(follower.name()),
+        failures: 0,
         follower,
-        lost: false,
         log,
         pace,
         registry,
@@ -83,8 +90,8 @@
 
 struct Follow<T> {
     backoff: Backoff,
+    failures: u32,
     follower: Arc<dyn Follower<T>>,
-    lost: bool,
     log: Logger,
     pace: FollowPace,
     registry: Arc<dyn Registry<T>>,
@@ -115,8 +122,13 @@
         loop {
             let started = Instant::now();
             let mut returned = self.returns.0.subscribe();
+            let due = self.follower.due();
             let answer = tokio::select! {
                 answer = self.registry.watch(revision, self.pace.wait) => answer,
+                () = sleep_until(due.unwrap_or(started)), if due.is_some() => {
+                    self.follower.settle();
+                    continue;
+                }
                 _ = returned.changed() => continue,
             };
             match answer {
@@ -139,21 +151,26 @@
 
     fn note_answer(&mut self) {
         self.backoff.reset();
-        if !self.lost {
+        let failures = std::mem::take(&mut self.failures);
+        if failures < MOST_FAILURES {
             return;
         }
-        self.lost = false;
-        info!(self.log, "store: answers again"; "registry" => self.follower.name());
+        info!(self.log, "store: answers again"; "registry" => self.follower.name(),
+            "failures" => failures);
         self.follower.regain();
         self.returns.0.send_modify(|count| *count += 1);
     }
 
     async fn pause(&mut self, error: &RegistryError) {
-        if !self.lost {
+        self.failures += 1;
+        if self.failures == MOST_FAILURES {
             warn!(self.log, "store: lost"; "registry" => self.follower.name(), "error" => %error);
-            self.lost = true;
             self.follower.lose();
         }
-        sleep(self.backoff.fail().min(LONGEST_PAUSE)).await;
+        let mut returned = self.returns.0.subscribe();
+        tokio::select! {
+            () = sleep(self.backoff.fail().min(self.pace.pause)) => {}
+            _ = returned.changed() => {}
+        }
     }
 }
--- a/crates/steer/src/flows/followers.rs
+++ b/crates/steer/src/flows/followers.rs
@@ -121,7 +121,7 @@
 
 impl TargetFollower {
     /// Time after the store's return within which live targets are registered again.
-    pub const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+    pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
     /// Follows the targets for a router.
     pub fn new(router: Arc<Router>) -> Self {
@@ -165,8 +165,12 @@
         }
     }
 
+    fn due(&self) -> Option<Instant> {
+        self.lock().due.values().min().copied()
+    }
+
     fn lose(&self) {
-        self.lock().due.clear();
+        self.router.fleet().note_store_lost();
     }
 
     fn name(&self) -> &'static str {
@@ -174,7 +178,9 @@
     }
 
     fn regain(&self) {
-        self.lock().returned = Some(Instant::now());
+        // Registrations lapse while the store is away, not while this VM alone can't reach it.
+        let was_away = self.router.fleet().note_store_back();
+        self.lock().returned = was_away.then(Instant::now);
     }
 
     fn replace(&self, listing: Listing<TargetRecord>) {
