Prefer targets that have the object at hand, and send failed reads again

Cause: cold work alone misses the objective on every kind, and the second to fourth replica of an object were tried cold while the first one had slots. A read that a target ran and failed goes to another one, within attempts and budget.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -98,6 +98,8 @@
 enum Tried {
     /// The head of the answer has come.
     Answered(Response<Body>),
+    /// The target ran the request and failed.
+    Failed(Response<Body>),
     /// The request may have run, and there is no answer to pass on.
     Lost(Refusal),
     /// The target said that it did not run the request.
@@ -127,6 +129,17 @@
                 Tried::Answered(response) => {
                     return Ok(response.map(|body| hold_until_end(body, seat)));
                 }
+                Tried::Failed(response) => {
+                    sent += 1;
+                    let again = self.route.repeat == RepeatRule::Idempotent
+                        && sent < self.route.attempts
+                        && !supply.is_empty()
+                        && self.may_retry();
+                    if !again {
+                        return Ok(response.map(|body| hold_until_end(body, seat)));
+                    }
+                    continue;
+                }
                 Tried::Unreached(request, refusal) => {
                     supply.give_back(request);
                     unreached += 1;
@@ -203,10 +216,9 @@
         let failed = response.status().is_server_error();
         seat.note_answer(load, failed);
         match verdict {
+            Verdict::Ran if failed => Tried::Failed(response),
             Verdict::Ran => {
-                if !failed {
-                    seat.note_work();
-                }
+                seat.note_work();
                 Tried::Answered(response)
             }
             Verdict::NotRun => {
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod target_record;
 mod target_report;
 mod target_state;
+mod warm_objects;
 mod work_time;
 
 pub use self::{
@@ -26,5 +27,6 @@
     target_load::TargetLoad,
     target_record::TargetRecord,
     target_report::{LoadSample, TargetIdentity, TargetReport, Verdict},
+    warm_objects::WarmObjects,
     work_time::WorkTime,
 };
--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -1,7 +1,7 @@
 //! The targets of the whole fleet, and the choice among them.
 
 use super::{
-    Distance, LoadSample, NoSeat, PlaceQuery, Seat, TargetRecord, WorkTime,
+    Distance, LoadSample, NoSeat, ObjectHash, PlaceQuery, Seat, TargetRecord, WorkTime,
     target_state::TargetState,
 };
 use crate::{AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName};
@@ -17,6 +17,7 @@
 pub(super) struct Place {
     born: u64,
     name: TargetName,
+    object: Option<ObjectHash>,
     service: ServiceName,
 }
 
@@ -69,8 +70,12 @@
 impl TargetBoard {
     /// Targets on which an object's requests meet, so that it stays warm there.
     pub const REPLICAS: usize = 4;
-    /// Cost of the next replica of an object, in parts of a usual work time.
-    const NEXT_REPLICA: f64 = 0.15;
+    /// Cost of a target that may not have the object at hand, in parts of a usual work time: the
+    /// work takes about three times as long there.
+    const COLD_OBJECT: f64 = 1.5;
+    /// Cost of the next replica of an object, in parts of a usual work time; it makes all VMs
+    /// prefer the same one.
+    const NEXT_REPLICA: f64 = 0.1;
     /// Cost of a target whose every answer fails, in parts of a usual work time.
     const FAILURES: f64 = 8.0;
     /// Cost of a large body that leaves its availability zone.
@@ -210,6 +215,7 @@
         let place = Place {
             born: state.record.born,
             name: state.record.name.clone(),
+            object: query.object,
             service: query.service.clone(),
         };
         Ok(Seat::new(Arc::clone(self), place, state.record.clone(), crowd))
@@ -237,6 +243,9 @@
     /// Takes the time of one request's work at a service.
     pub(super) fn note_work(&self, place: &Place, time: Duration) {
         self.lock().work.entry(place.service.clone()).or_default().note(time);
+        if let Some(object) = place.object {
+            self.with_state(place, |state| state.warm.note(object, Instant::now()));
+        }
     }
 
     pub(super) fn note_answer(&self, place: &Place, load: Option<LoadSample>, failed: bool) {
@@ -282,7 +291,13 @@
 
 /// Cost of a target beside the wait there, in seconds; lower is better.
 fn cost(state: &TargetState, query: &PlaceQuery, place: usize, work: f64, now: Instant) -> f64 {
-    let replica = if query.streamed { 0.0 } else { place as f64 * TargetBoard::NEXT_REPLICA };
+    let replica = match query.object {
+        Some(object) if !state.warm.has(object, now) => {
+            TargetBoard::COLD_OBJECT + place as f64 * TargetBoard::NEXT_REPLICA
+        }
+        Some(_) => place as f64 * TargetBoard::NEXT_REPLICA,
+        None => 0.0,
+    };
     let pace = state.load.slowness(now) - 1.0;
     let failures = state.health.failed() * TargetBoard::FAILURES;
     let crossing = match state.distance {
--- a/crates/steer/src/placement/target_state.rs
+++ b/crates/steer/src/placement/target_state.rs
@@ -1,6 +1,6 @@
 //! All that this VM knows of a target.
 
-use super::{Distance, StartWindow, TargetHealth, TargetLoad, TargetRecord};
+use super::{Distance, StartWindow, TargetHealth, TargetLoad, TargetRecord, WarmObjects};
 use crate::RegionName;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,6 +17,7 @@
     pub(super) record: TargetRecord,
     pub(super) region: RegionName,
     pub(super) starts: StartWindow,
+    pub(super) warm: WarmObjects,
 }
 
 impl TargetState {
@@ -30,6 +31,7 @@
             record,
             region,
             starts: StartWindow::default(),
+            warm: WarmObjects::default(),
         }
     }
 
