Test routes, placement, forwarding and the following of registries

They found that a cold target got nothing where more VMs than its burst share it; now the VMs that rank best for it send one request each. Bounds that the fleet shares count all registered VMs, so that one that has just started does not take the whole share.

--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -160,11 +160,11 @@
         known.chain(inner.seeds.iter().copied()).collect()
     }
 
-    /// Number of live VMs, this one included.
-    pub fn live(&self) -> u32 {
-        let now = Instant::now();
-        let others = self.lock().members.values().filter(|m| m.is_live(now)).count();
-        u32::try_from(others).map_or(u32::MAX, |others| others + 1)
+    /// Names of all VMs that are registered or were heard, this one included: bounds that the
+    /// fleet shares hold also while some of them can't be heard.
+    pub fn known(&self) -> BTreeSet<VmName> {
+        let inner = self.lock();
+        inner.members.keys().chain([&self.vm.name]).cloned().collect()
     }
 
     /// Addresses that a caller in a zone should use: the live VMs nearest to it, in its zone, its
--- a/crates/steer/src/flows/greet_fleet.rs
+++ b/crates/steer/src/flows/greet_fleet.rs
@@ -36,7 +36,7 @@
                 tokio::spawn(greet_vm(router, greeter, peer, state.clone()))
             });
         }
-        router.board().set_vms(router.fleet().live());
+        router.board().set_vms(router.fleet().known());
         sleep(PERIOD).await;
     }
 }
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -28,7 +28,12 @@
     pub fn new(parts: RouterParts, state: watch::Receiver<VmState>) -> Self {
         let here = (parts.vm.zone.clone(), parts.vm.region.clone());
         Self {
-            board: Arc::new(TargetBoard::new(here, parts.zones, parts.rules)),
+            board: Arc::new(TargetBoard::new(
+                parts.vm.name.clone(),
+                here,
+                parts.zones,
+                parts.rules,
+            )),
             budgets: Mutex::default(),
             fleet: FleetView::new(parts.vm),
             grace: parts.grace,
--- a/crates/steer/src/placement/start_window.rs
+++ b/crates/steer/src/placement/start_window.rs
@@ -1,6 +1,11 @@
 //! Bound on the requests that a cold target gets in a second.
 
-use std::{collections::VecDeque, time::Duration};
+use super::ObjectHash;
+use crate::{TargetName, VmName};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Counts the requests sent to a target within a sliding window.
@@ -38,3 +43,23 @@
         self.sent.push_back(now);
     }
 }
+
+/// Requests within a window that one VM may send to a cold target, of `burst` that all may send.
+///
+/// Each VM has the same part. Where there are more VMs than requests, those that rank best for the
+/// target have one each.
+pub(super) fn start_share(
+    burst: u32,
+    name: &VmName,
+    vms: &BTreeSet<VmName>,
+    target: &TargetName,
+) -> u32 {
+    let count = u32::try_from(vms.len().max(1)).unwrap_or(u32::MAX);
+    if burst >= count {
+        return burst / count;
+    }
+    let target = ObjectHash::new("start", target.as_str().as_bytes());
+    let own = target.rank(name.as_str());
+    let better = vms.iter().filter(|vm| target.rank(vm.as_str()) < own).count();
+    u32::from(better < burst as usize)
+}
--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -2,9 +2,11 @@
 
 use super::{
     Distance, LoadSample, NoSeat, ObjectHash, PlaceQuery, Seat, TargetRecord, WorkTime,
-    target_state::TargetState,
+    start_window::start_share, target_state::TargetState,
+};
+use crate::{
+    AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName, VmName,
 };
-use crate::{AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard},
@@ -41,8 +43,8 @@
     evacuated: BTreeSet<AvailabilityZoneName>,
     rules: BTreeMap<ServiceName, ServiceRules>,
     targets: BTreeMap<ServiceName, BTreeMap<TargetName, TargetState>>,
-    /// Live VMs, this one included.
-    vms: u32,
+    /// Known VMs, this one included.
+    vms: BTreeSet<VmName>,
     work: BTreeMap<ServiceName, WorkTime>,
 }
 
@@ -53,7 +55,7 @@
 /// use steer::{BoardRules, PlaceQuery, TargetBoard, TargetRecord};
 /// let here = ("lis-a".into(), "lisboa".into());
 /// let zones = BTreeMap::from([("lis-a".into(), "lisboa".into())]);
-/// let board = Arc::new(TargetBoard::new(here, zones, BoardRules::default()));
+/// let board = Arc::new(TargetBoard::new("entry-1".into(), here, zones, BoardRules::default()));
 /// let address = "10.0.0.1:80".parse().unwrap();
 /// board.apply(TargetRecord::new("t-1", "briefs", address).slots(6).zone("lis-a"));
 /// let seat = board.place(&PlaceQuery::new("briefs")).unwrap();
@@ -63,6 +65,7 @@
 pub struct TargetBoard {
     here: (AvailabilityZoneName, RegionName),
     inner: Mutex<Inner>,
+    name: VmName,
     rules: BoardRules,
     zones: BTreeMap<AvailabilityZoneName, RegionName>,
 }
@@ -89,12 +92,12 @@
 
     /// Makes an empty board of a VM at a place.
     pub fn new(
+        name: VmName,
         here: (AvailabilityZoneName, RegionName),
         zones: BTreeMap<AvailabilityZoneName, RegionName>,
         rules: BoardRules,
     ) -> Self {
-        let inner = Mutex::new(Inner { vms: 1, ..Inner::default() });
-        Self { here, inner, rules, zones }
+        Self { here, inner: Mutex::default(), name, rules, zones }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -149,9 +152,9 @@
         self.lock().rules = table.services().map(|(name, rules)| (name.clone(), *rules)).collect();
     }
 
-    /// Takes the number of live VMs, this one included.
-    pub fn set_vms(&self, vms: u32) {
-        self.lock().vms = vms.max(1);
+    /// Takes the known VMs, this one included, which share the bounds for cold targets.
+    pub fn set_vms(&self, vms: BTreeSet<VmName>) {
+        self.lock().vms = vms;
     }
 
     /// Takes the availability zones whose targets get nothing.
@@ -181,7 +184,8 @@
         let now = Instant::now();
         let mut inner = self.lock();
         let inner = &mut *inner;
-        let cold_most = self.cold_most(inner, &query.service);
+        let burst = self.cold_burst(inner, &query.service);
+        let (name, vms) = (&self.name, &inner.vms);
         let work = inner.work.get(&query.service).copied().unwrap_or_default().get();
         let targets = inner.targets.get_mut(&query.service).ok_or(NoSeat::NoTarget)?;
         let mut usable: Vec<(f64, &mut TargetState)> = targets
@@ -192,7 +196,10 @@
         if usable.is_empty() {
             return Err(NoSeat::NoTarget);
         }
-        usable.retain(|(_, state)| !state.is_cold(now) || state.starts.has_room(now, cold_most));
+        usable.retain(|(_, state)| {
+            let share = || start_share(burst, name, vms, &state.record.name);
+            !state.is_cold(now) || state.starts.has_room(now, share())
+        });
         if query.object.is_some() && !query.streamed {
             usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
             usable.truncate(Self::REPLICAS);
@@ -221,11 +228,10 @@
         Ok(Seat::new(Arc::clone(self), place, state.record.clone(), crowd))
     }
 
-    /// Requests within a window that this VM may send to a cold target of a service.
-    fn cold_most(&self, inner: &Inner, service: &ServiceName) -> u32 {
+    /// Requests within a window that all VMs may send to a cold target of a service.
+    fn cold_burst(&self, inner: &Inner, service: &ServiceName) -> u32 {
         let Some(rules) = inner.rules.get(service) else { return 0 };
-        let all = rules.cold_rate * self.rules.cold_factor + self.rules.cold_burst;
-        (all / f64::from(inner.vms)) as u32
+        (rules.cold_rate * self.rules.cold_factor + self.rules.cold_burst) as u32
     }
 
     fn with_state(&self, place: &Place, change: impl FnOnce(&mut TargetState)) {
--- /dev/null
+++ b/crates/steer/tests/following.rs
@@ -0,0 +1,190 @@
+//! What a VM believes while the store changes, fails and forgets.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use async_trait::async_trait;
+use slog::{Discard, Logger, o};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    future::pending,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::{
+    BoardRules, Body, Change, Changes, EvacuationFollower, FollowPace, Follower, Listing,
+    LoadError, LoadReport, NoMeter, Registry, RegistryError, Router, RouterParts, RouterPorts,
+    SendError, StoreReturns, TargetFollower, TargetRecord, Targets, Vm, VmHello, VmRecord,
+    follow_registry,
+};
+use tokio::time::{Instant, sleep};
+
+#[derive(Debug)]
+struct NoTargets;
+
+#[async_trait]
+impl Targets for NoTargets {
+    async fn send(
+        &self,
+        _target: std::net::SocketAddr,
+        _request: http::Request<Body>,
+    ) -> Result<http::Response<Body>, SendError> {
+        Err(SendError::sent("no targets here"))
+    }
+
+    async fn read_load(&self, _target: std::net::SocketAddr) -> Result<LoadReport, LoadError> {
+        Ok(LoadReport::default())
+    }
+}
+
+fn vm(name: &str) -> VmRecord {
+    VmRecord {
+        callers: "10.0.0.1:80".parse().unwrap(),
+        incarnation: 1,
+        name: name.into(),
+        peers: "10.0.0.1:81".parse().unwrap(),
+        region: "lisboa".into(),
+        zone: "lis-a".into(),
+    }
+}
+
+fn router() -> Arc<Router> {
+    let parts = RouterParts {
+        grace: Duration::from_secs(6),
+        log: Logger::root(Discard, o!()),
+        ports: RouterPorts { meter: Arc::new(NoMeter), targets: Arc::new(NoTargets) },
+        rules: BoardRules::default(),
+        vm: vm("entry-1"),
+        zones: BTreeMap::from([("lis-a".into(), "lisboa".into())]),
+    };
+    Arc::new(Router::new(parts, Vm::join().1))
+}
+
+fn target(name: &str) -> TargetRecord {
+    let record = TargetRecord::new(name, "briefs", "10.0.0.1:80".parse().unwrap());
+    record.slots(2).zone("lis-a")
+}
+
+/// One answer of the scripted store.
+enum Answer {
+    Changes(Vec<Change<TargetRecord>>),
+    Expired,
+    Fail,
+    List(&'static [&'static str]),
+}
+
+/// Answers calls in turn, then lets watches wait for ever.
+struct Script(Mutex<VecDeque<Answer>>);
+
+impl std::fmt::Debug for Script {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Script")
+    }
+}
+
+#[async_trait]
+impl Registry<TargetRecord> for Script {
+    async fn list(&self) -> Result<Listing<TargetRecord>, RegistryError> {
+        let answer = self.0.lock().unwrap().pop_front();
+        match answer {
+            Some(Answer::List(names)) => Ok(Listing {
+                items: names.iter().map(|name| ((*name).into(), target(name))).collect(),
+                revision: 7,
+                unreadable: BTreeMap::new(),
+            }),
+            _ => Err(RegistryError::unavailable("down")),
+        }
+    }
+
+    async fn watch(&self, _: u64, _: Duration) -> Result<Changes<TargetRecord>, RegistryError> {
+        let answer = self.0.lock().unwrap().pop_front();
+        match answer {
+            Some(Answer::Changes(changes)) => Ok(Changes { changes, revision: 8 }),
+            Some(Answer::Expired) => Err(RegistryError::Expired),
+            Some(Answer::Fail) => Err(RegistryError::unavailable("down")),
+            Some(Answer::List(_)) => panic!("the script expects a list, not a watch"),
+            None => pending().await,
+        }
+    }
+}
+
+const PACE: FollowPace = FollowPace {
+    pause: Duration::from_millis(400),
+    period: Duration::from_secs(1),
+    wait: Duration::from_secs(3),
+};
+
+/// Follows a script, and gives the targets at each of some milliseconds.
+async fn run(script: Vec<Answer>, others_lost: bool, at: &[u64]) -> String {
+    let router = router();
+    let start = Instant::now();
+    let registry = Arc::new(Script(Mutex::new(script.into())));
+    let follower = Arc::new(TargetFollower::new(Arc::clone(&router)));
+    let log = Logger::root(Discard, o!());
+    let flow = follow_registry(registry, follower, PACE, StoreReturns::new(), log);
+    let flow = tokio::spawn(flow);
+    let mut seen = String::new();
+    for ms in at {
+        while start.elapsed() < Duration::from_millis(*ms) {
+            for name in ["entry-2", "entry-3"] {
+                let hello = VmHello { leaving: false, store_lost: others_lost, vm: vm(name) };
+                router.fleet().note_hello(hello);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        let names: Vec<String> = router.board().names().iter().map(ToString::to_string).collect();
+        seen += &format!("{ms} ms: {}\n", names.join(" "));
+    }
+    flow.abort();
+    seen
+}
+
+fn outage(end: &'static [&'static str]) -> Vec<Answer> {
+    let mut script = vec![Answer::List(&["a", "b", "c"])];
+    script.extend((0..10).map(|_| Answer::Fail));
+    script.extend([Answer::Expired, Answer::List(end)]);
+    script
+}
+
+#[tokio::test(start_paused = true)]
+async fn targets_that_lapsed_with_the_store_get_two_seconds_to_return() {
+    insta::assert_snapshot!(run(outage(&["a"]), true, &[100, 4_000, 5_500, 7_000, 9_000]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn targets_that_left_while_this_vm_alone_was_cut_off_are_dropped_at_once() {
+    insta::assert_snapshot!(run(outage(&["a"]), false, &[100, 3_000, 5_500]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_returns_within_its_time_stays() {
+    let mut script = outage(&["a"]);
+    let back = Change::Put("b".into(), target("b"));
+    script.push(Answer::Changes(vec![back]));
+    insta::assert_snapshot!(run(script, true, &[4_000, 9_000]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_single_cut_watch_is_no_outage() {
+    let gone = Answer::Changes(vec![Change::Removed("b".into())]);
+    let script = vec![Answer::List(&["a", "b"]), Answer::Fail, gone];
+    insta::assert_snapshot!(run(script, true, &[100, 1_000]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_registration_names_no_target_and_hurts_no_other() {
+    let broken = Change::Unreadable("b".into(), "no address".into());
+    let script = vec![Answer::List(&["a", "b"]), Answer::Changes(vec![broken])];
+    insta::assert_snapshot!(run(script, false, &[1_000]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_name_of_an_evacuation_is_enough() {
+    let router = router();
+    router.board().apply(target("a"));
+    let follower = EvacuationFollower::new(Arc::clone(&router));
+    let query = steer::PlaceQuery::new("briefs");
+    follower.apply(Change::Unreadable("lis-a".into(), "bytes".into()));
+    assert!(router.board().place(&query).is_err());
+    follower.apply(Change::Removed("lis-a".into()));
+    assert!(router.board().place(&query).is_ok());
+}
--- /dev/null
+++ b/crates/steer/tests/forwarding.rs
@@ -0,0 +1,209 @@
+//! What becomes of a request, by what its targets do.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use async_trait::async_trait;
+use http::{Request, Response, StatusCode};
+use slog::{Discard, Logger, o};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::{
+    BoardRules, Body, CallerRequest, LoadError, LoadReport, NoMeter, RepeatRule, Route, RouteTable,
+    Router, RouterParts, RouterPorts, SendError, TargetIdentity, TargetRecord, TargetReport,
+    Targets, Verdict, Vm, VmRecord, empty_body, forward_request, full_body,
+};
+use tokio::time::sleep;
+
+/// What a target does with a request.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Answer(u16),
+    Break,
+    Hang,
+    Misdirect,
+    Refuse,
+    Unreachable,
+}
+
+#[derive(Debug, Default)]
+struct FakeTargets {
+    acts: Mutex<VecDeque<Act>>,
+    sent: Mutex<Vec<String>>,
+}
+
+fn respond(status: u16, verdict: Verdict) -> Response<Body> {
+    let mut response = Response::new(full_body("done"));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap();
+    response.extensions_mut().insert(TargetReport { load: None, verdict });
+    response
+}
+
+#[async_trait]
+impl Targets for FakeTargets {
+    async fn send(
+        &self,
+        _target: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        let act = self.acts.lock().unwrap().pop_front().unwrap_or(Act::Answer(200));
+        let identity = request.extensions().get::<TargetIdentity>().unwrap().clone();
+        if !matches!(act, Act::Unreachable) {
+            self.sent.lock().unwrap().push(identity.name.to_string());
+        }
+        match act {
+            Act::Answer(status) => Ok(respond(status, Verdict::Ran)),
+            Act::Break => Err(SendError::sent("connection reset")),
+            Act::Hang => {
+                sleep(Duration::from_secs(60)).await;
+                Ok(respond(200, Verdict::Ran))
+            }
+            Act::Misdirect => Ok(respond(421, Verdict::Misdirected)),
+            Act::Refuse => Ok(respond(503, Verdict::NotRun)),
+            Act::Unreachable => Err(SendError::not_sent("connection refused", request)),
+        }
+    }
+
+    async fn read_load(&self, _target: SocketAddr) -> Result<LoadReport, LoadError> {
+        Ok(LoadReport::default())
+    }
+}
+
+struct World {
+    router: Router,
+    targets: Arc<FakeTargets>,
+}
+
+impl World {
+    fn new(acts: &[Act]) -> Self {
+        let targets = Arc::new(FakeTargets::default());
+        targets.acts.lock().unwrap().extend(acts);
+        let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
+        let parts = RouterParts {
+            grace: Duration::from_secs(6),
+            log: Logger::root(Discard, o!()),
+            ports: RouterPorts { meter: Arc::new(NoMeter), targets: targets.clone() },
+            rules: BoardRules::default(),
+            vm: VmRecord {
+                callers: address,
+                incarnation: 1,
+                name: "entry-1".into(),
+                peers: address,
+                region: "lisboa".into(),
+                zone: "lis-a".into(),
+            },
+            zones: BTreeMap::from([("lis-a".into(), "lisboa".into())]),
+        };
+        let router = Router::new(parts, Vm::join().1);
+        Self { router, targets }
+    }
+
+    fn with_routes(self) -> Self {
+        let route = |name: &str, repeat| {
+            Route::new(name, "a.example", &format!("/{name}/"), "briefs")
+                .repeat(repeat)
+                .attempts(2)
+                .timeout(Duration::from_secs(2))
+        };
+        let table = RouteTable::new(1)
+            .route(route("read", RepeatRule::Idempotent))
+            .route(route("pay", RepeatRule::OncePerTry))
+            .route(route("upload", RepeatRule::OncePerTry).streamed(true))
+            .max_body(Some(1 << 20));
+        self.router.put_in_force(table);
+        for i in 1..=4 {
+            let address = "10.0.0.1:80".parse().unwrap();
+            let record = TargetRecord::new(format!("t-{i}"), "briefs", address);
+            self.router.board().apply(record.slots(2).zone("lis-a"));
+        }
+        self
+    }
+
+    async fn ask(&self, path: &str, deadline: Duration) -> String {
+        let caller = CallerRequest::new("a.example", path).deadline(Some(deadline));
+        let body = if path.starts_with("/read") { empty_body() } else { full_body("body") };
+        let request = Request::post(path).body(body).unwrap();
+        let start = tokio::time::Instant::now();
+        let answer = match forward_request(&self.router, &caller, request).await {
+            Ok(response) => format!("{} of a target", response.status().as_u16()),
+            Err(refusal) => {
+                let answer = refusal.answer();
+                format!("{} {}, {}", answer.status.as_u16(), refusal.kind, answer.outcome)
+            }
+        };
+        let sent = self.targets.sent.lock().unwrap().len();
+        format!("{answer}; sent to {sent}; {} ms", start.elapsed().as_millis())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_only_what_may_be_repeated() {
+    use Act::*;
+    let scripts: [&[Act]; 12] = [
+        &[],
+        &[Answer(404)],
+        &[Answer(500)],
+        &[Answer(500), Answer(500)],
+        &[Break],
+        &[Break, Break],
+        &[Refuse],
+        &[Refuse, Refuse, Refuse],
+        &[Misdirect],
+        &[Unreachable, Unreachable],
+        &[Unreachable, Unreachable, Unreachable],
+        &[Hang],
+    ];
+    let mut table = String::new();
+    for script in scripts {
+        writeln!(table, "{script:?}").unwrap();
+        for path in ["/read/7", "/pay/7", "/upload/7"] {
+            let world = World::new(script).with_routes();
+            let end = world.ask(path, Duration::from_secs(5)).await;
+            writeln!(table, "  {path}: {end}").unwrap();
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_by_the_earlier_of_deadline_and_timeout() {
+    let mut table = String::new();
+    for ms in [300, 1_900, 9_000] {
+        let world = World::new(&[Act::Hang]).with_routes();
+        let end = world.ask("/pay/7", Duration::from_millis(ms)).await;
+        writeln!(table, "deadline {ms} ms: {end}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn knows_no_route_only_with_a_configuration() {
+    let second = Duration::from_secs(1);
+    let before = World::new(&[]).ask("/nowhere", second).await;
+    let after = World::new(&[]).with_routes().ask("/nowhere", second).await;
+    insta::assert_snapshot!(format!("before: {before}\nafter: {after}"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_their_budget() {
+    let acts = vec![Act::Refuse; 4_000];
+    let world = World::new(&acts).with_routes();
+    for _ in 0..1_000 {
+        world.ask("/read/7", Duration::from_secs(1)).await;
+    }
+    let sent = world.targets.sent.lock().unwrap().len();
+    assert!(sent <= 1_000 + 1_000 / 5, "{sent} sends for 1000 requests");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_configuration_never_replaces_a_newer_one() {
+    let world = World::new(&[]);
+    let applied: Vec<bool> =
+        [3, 5, 4, 5, 9].map(|version| world.router.put_in_force(RouteTable::new(version))).into();
+    assert_eq!(applied, [true, true, false, false, true]);
+    assert_eq!(world.router.routes().unwrap().version, 9);
+}
