--- /dev/null
+++ b/crates/adapters/tests/early_requests.rs
@@ -0,0 +1,142 @@
+//! Reading callers' connections ahead: pipelined requests and callers that leave.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use adapters::{Listener, ListenerLimits};
+use http::Response;
+use http_body_util::BodyExt;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use steer::full_body;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+const WORK: Duration = Duration::from_millis(150);
+
+/// Requests that began, that ended, and the most that ran at a time.
+#[derive(Debug, Default)]
+struct Counts {
+    begun: AtomicUsize,
+    ended: AtomicUsize,
+    most: AtomicUsize,
+}
+
+/// Serves requests that take a while and answer with path and body.
+async fn serve(early: bool) -> (SocketAddr, Arc<Counts>) {
+    let listener =
+        Listener::bind("127.0.0.1:0".parse().unwrap(), ListenerLimits::default()).await.unwrap();
+    let listener = if early {
+        listener.early(Arc::new(|head| head.uri().path() != "/alone"))
+    } else {
+        listener
+    };
+    let address = listener.address().unwrap();
+    let counts = Arc::new(Counts::default());
+    let seen = Arc::clone(&counts);
+    tokio::spawn(listener.serve(move |request, _| {
+        let counts = Arc::clone(&seen);
+        async move {
+            let begun = counts.begun.fetch_add(1, Ordering::SeqCst) + 1;
+            counts.most.fetch_max(begun - counts.ended.load(Ordering::SeqCst), Ordering::SeqCst);
+            let path = request.uri().path().to_owned();
+            let body = request.into_body().collect().await.unwrap().to_bytes();
+            sleep(WORK).await;
+            counts.ended.fetch_add(1, Ordering::SeqCst);
+            Response::new(full_body(format!("{path}:{}", body.len())))
+        }
+    }));
+    (address, counts)
+}
+
+/// Sends bytes, and gives the bodies of the answers in their order.
+async fn exchange(address: SocketAddr, request: &str, answers: usize) -> Vec<String> {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut text = String::new();
+    let mut bytes = [0; 4096];
+    let read = async {
+        while text.matches("HTTP/1.1 200").count() < answers
+            || !text.ends_with(|c: char| c.is_ascii_digit())
+        {
+            let n = stream.read(&mut bytes).await.unwrap();
+            assert!(n > 0, "the connection ended after {text:?}");
+            text.push_str(std::str::from_utf8(&bytes[..n]).unwrap());
+        }
+    };
+    timeout(Duration::from_secs(5), read).await.unwrap();
+    text.split("\r\n\r\n")
+        .skip(1)
+        .map(|part| part.split("HTTP/").next().unwrap().to_owned())
+        .collect()
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n")
+}
+
+#[tokio::test]
+async fn pipelined_reads_run_together_and_answer_in_order() {
+    let (address, counts) = serve(true).await;
+    let requests: String = ["/1", "/2", "/3", "/4"].map(get).concat();
+    assert_eq!(exchange(address, &requests, 4).await, ["/1:0", "/2:0", "/3:0", "/4:0"]);
+    assert_eq!(counts.begun.load(Ordering::SeqCst), 4, "each ran once");
+    assert_eq!(counts.most.load(Ordering::SeqCst), 4);
+}
+
+#[tokio::test]
+async fn nothing_starts_early_that_the_filter_holds_back() {
+    for (early, path) in [(false, "/1"), (true, "/alone")] {
+        let (address, counts) = serve(early).await;
+        exchange(address, &[path; 3].map(get).concat(), 3).await;
+        assert_eq!(counts.most.load(Ordering::SeqCst), 1, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn bodies_between_pipelined_requests_keep_their_place() {
+    let (address, counts) = serve(true).await;
+    let post = "POST /post HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\r\nGET /";
+    let chunked = "POST /chunked HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n\
+                   3\r\nabc\r\n0\r\n\r\n";
+    let requests = [&get("/1"), post, &get("/2"), chunked, &get("/3")].concat();
+    let answers = exchange(address, &requests, 5).await;
+    assert_eq!(answers, ["/1:0", "/post:5", "/2:0", "/chunked:3", "/3:0"]);
+    assert_eq!(counts.begun.load(Ordering::SeqCst), 5);
+}
+
+#[tokio::test]
+async fn a_head_in_pieces_is_one_request() {
+    let (address, counts) = serve(true).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for piece in ["GET /1 HT", "TP/1.1\r\nHost: a.exam", "ple\r\n", "\r\n"] {
+        stream.write_all(piece.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut bytes = [0; 512];
+    let n = timeout(Duration::from_secs(5), stream.read(&mut bytes)).await.unwrap().unwrap();
+    assert!(std::str::from_utf8(&bytes[..n]).unwrap().starts_with("HTTP/1.1 200"));
+    assert_eq!(counts.begun.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_all_its_requests() {
+    for requests in [get("/1"), ["/1", "/2", "/3"].map(get).concat()] {
+        let (address, counts) = serve(true).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        sleep(WORK / 3).await;
+        drop(stream);
+        sleep(WORK * 2).await;
+        assert!(counts.begun.load(Ordering::SeqCst) > 0);
+        assert_eq!(counts.ended.load(Ordering::SeqCst), 0, "cancelled: {requests:?}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -42,8 +42,8 @@
     scenario::{Action, Policy, Scenario},
     slopes::{LineFit, Slope, run_slopes},
     stand_ins::{
-        LinkStandIn, PlatformFaults, PlatformStandIn, RelaySwitch, RunRecord, TargetControls,
-        TargetStandIn,
+        LinkStandIn, ObjectStore, PlatformFaults, PlatformStandIn, RelaySwitch, RunRecord,
+        StoreFault, TargetControls, TargetStandIn,
     },
     workload::{Workload, workloads},
 };
--- a/crates/lab/src/stand_ins/mod.rs
+++ b/crates/lab/src/stand_ins/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what the system talks to, one file each.
 
 mod link;
+mod object_store;
 mod platform;
 mod platform_faults;
 mod platform_store;
@@ -8,6 +9,7 @@
 
 pub use self::{
     link::{LinkStandIn, RelaySwitch},
+    object_store::{ObjectStore, StoreFault},
     platform::PlatformStandIn,
     platform_faults::PlatformFaults,
     target::{RunRecord, TargetControls, TargetStandIn},
