Keep the bound on shifts in each VM, read the file after SIGHUP

SIGHUP ended the process. Change: each VM compares where its requests run with the two seconds before and closes regions that would pass the bound, unless targets were lost; the settings file is read again; a store that has failed is asked for an answer at once, and each flow that recovers wakes the others.

--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -29,18 +29,19 @@
     follow_registry, greet_fleet,
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
-    time::sleep,
+    signal::unix::{Signal, SignalKind, signal},
+    time::{sleep, timeout},
 };
 
 /// Variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "RAGWORTSWITCH_SETTINGS";
 /// How often the targets' registrations are read: they bind within two seconds and more. This
-/// flow also finds out when the store is back.
+/// flow also finds out when the store is back: a call that got lost with the store ends before
+/// the shortest stable window, three seconds, is over.
 const TARGET_PACE: FollowPace = FollowPace {
     pause: Duration::from_millis(400),
     period: Duration::from_secs(1),
-    wait: Duration::from_secs(3),
+    wait: Duration::from_millis(1_200),
 };
 /// How often rare news is read; a connection that went silent is found after the wait.
 const NEWS_PACE: FollowPace = FollowPace {
@@ -61,6 +62,8 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time kept for the end of the process before it would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time after which the settings file is read again without being asked.
+const RELOAD_PERIOD: Duration = Duration::from_secs(10);
 /// Pause between two calls that register this VM.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
 
@@ -130,6 +133,8 @@
     let registry = StoreVms::new(&client);
     let registration = tokio::spawn(register(Arc::clone(&router), registry.clone()));
 
+    tokio::spawn(reload(Arc::clone(&router), path.to_owned(), signal(SignalKind::hangup())?));
+
     let vm = vm.serve();
     wait_for_stop().await?;
     info!(log, "vm: stopping"; "connections" => control.connections());
@@ -202,6 +207,24 @@
     tokio::spawn(follow_registry(registry, follower, pace, returns.clone(), log));
 }
 
+/// Reads the settings file again after SIGHUP, and now and then, as it may change without one.
+/// Only the seeds can change while the process runs.
+async fn reload(router: Arc<Router>, path: PathBuf, mut hangup: Signal) {
+    loop {
+        let asked = timeout(RELOAD_PERIOD, hangup.recv()).await.is_ok();
+        match RouterSettings::read(&path) {
+            Ok(settings) => router.fleet().set_seeds(settings.seeds),
+            Err(error) => {
+                warn!(router.log(), "settings: file not read; the former ones stay";
+                    "error" => %error);
+            }
+        }
+        if asked {
+            info!(router.log(), "settings: file read again");
+        }
+    }
+}
+
 /// Registers this VM, again and again until the store confirms it.
 async fn register(router: Arc<Router>, registry: StoreVms) {
     while let Err(error) = registry.publish(router.fleet().vm()).await {
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -22,6 +22,8 @@
     /// Least level of log lines that is kept: critical, error, warning, info, debug or trace.
     #[serde(default)]
     pub(crate) log_level: Option<String>,
+    /// Part of a region's requests that may change the region in which they run within two seconds.
+    pub(crate) max_shift: f64,
     /// Name of this VM.
     pub(crate) name: VmName,
     /// Address for other VMs.
@@ -63,7 +65,11 @@
 
     /// Bounds for cold targets.
     pub(crate) fn rules(&self) -> BoardRules {
-        BoardRules { cold_burst: self.cold_burst, cold_factor: self.cold_factor }
+        BoardRules {
+            cold_burst: self.cold_burst,
+            cold_factor: self.cold_factor,
+            max_shift: self.max_shift,
+        }
     }
 
     /// This VM; a later start has a higher incarnation.
--- a/crates/steer/src/flows/follow_registry.rs
+++ b/crates/steer/src/flows/follow_registry.rs
@@ -123,8 +123,10 @@
             let started = Instant::now();
             let mut returned = self.returns.0.subscribe();
             let due = self.follower.due();
+            // A store that has failed is asked for an answer at once, to see soon that it is back.
+            let wait = if self.failures == 0 { self.pace.wait } else { Duration::ZERO };
             let answer = tokio::select! {
-                answer = self.registry.watch(revision, self.pace.wait) => answer,
+                answer = self.registry.watch(revision, wait) => answer,
                 () = sleep_until(due.unwrap_or(started)), if due.is_some() => {
                     self.follower.settle();
                     continue;
@@ -152,12 +154,15 @@
     fn note_answer(&mut self) {
         self.backoff.reset();
         let failures = std::mem::take(&mut self.failures);
-        if failures < MOST_FAILURES {
+        if failures == 0 {
             return;
         }
         info!(self.log, "store: answers again"; "registry" => self.follower.name(),
             "failures" => failures);
-        self.follower.regain();
+        if failures >= MOST_FAILURES {
+            self.follower.regain();
+        }
+        // Calls of other flows may have got lost as well.
         self.returns.0.send_modify(|count| *count += 1);
     }
 
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod object_hash;
 mod place_query;
 mod seat;
+mod shift_guard;
 mod start_window;
 mod target_board;
 mod target_health;
@@ -21,6 +22,7 @@
     object_hash::ObjectHash,
     place_query::PlaceQuery,
     seat::Seat,
+    shift_guard::ShiftGuard,
     start_window::StartWindow,
     target_board::{BoardRules, TargetBoard},
     target_health::TargetHealth,
--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -1,7 +1,7 @@
 //! The targets of the whole fleet, and the choice among them.
 
 use super::{
-    Distance, LoadSample, NoSeat, ObjectHash, PlaceQuery, Seat, TargetRecord, WorkTime,
+    Distance, LoadSample, NoSeat, ObjectHash, PlaceQuery, Seat, ShiftGuard, TargetRecord, WorkTime,
     start_window::start_share, target_state::TargetState,
 };
 use crate::{
@@ -30,18 +30,24 @@
     pub cold_burst: f64,
     /// Factor on the rate that a cold target bears.
     pub cold_factor: f64,
+    /// Part of a region's requests that may change the region in which they run from one window
+    /// to the next.
+    pub max_shift: f64,
 }
 
 impl Default for BoardRules {
     fn default() -> Self {
-        Self { cold_burst: 0.0, cold_factor: 1.0 }
+        Self { cold_burst: 0.0, cold_factor: 1.0, max_shift: 1.0 }
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
+    /// When a target was last lost, or a zone's targets went or came.
+    disrupted: Option<Instant>,
     evacuated: BTreeSet<AvailabilityZoneName>,
     rules: BTreeMap<ServiceName, ServiceRules>,
+    shift: ShiftGuard,
     targets: BTreeMap<ServiceName, BTreeMap<TargetName, TargetState>>,
     /// Known VMs, this one included.
     vms: BTreeSet<VmName>,
@@ -85,6 +91,10 @@
     const CROSS_ZONE: Duration = Duration::from_millis(200);
     /// Cost of a large body that leaves its region.
     const CROSS_REGION: Duration = Duration::from_millis(400);
+    /// Part of the bound on shifts that a VM uses, as the VMs' shares don't change alike.
+    const SHIFT_PART: f64 = 0.8;
+    /// Time after a loss of targets in which requests change their region freely.
+    const DISRUPTION: Duration = Duration::from_secs(4);
     /// Time after which a cold target takes another request.
     const COLD_PAUSE: Duration = Duration::from_millis(500);
     /// Time for which a target that could not be reached is taken for a cold one.
@@ -97,7 +107,16 @@
         zones: BTreeMap<AvailabilityZoneName, RegionName>,
         rules: BoardRules,
     ) -> Self {
-        Self { here, inner: Mutex::default(), name, rules, zones }
+        let inner = Inner {
+            disrupted: None,
+            evacuated: BTreeSet::new(),
+            rules: BTreeMap::new(),
+            shift: ShiftGuard::new(rules.max_shift * Self::SHIFT_PART),
+            targets: BTreeMap::new(),
+            vms: BTreeSet::new(),
+            work: BTreeMap::new(),
+        };
+        Self { here, inner: Mutex::new(inner), name, rules, zones }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -137,7 +156,9 @@
 
     /// Removes a target that has left.
     pub fn remove(&self, name: &TargetName) {
-        for targets in self.lock().targets.values_mut() {
+        let mut inner = self.lock();
+        inner.disrupted = Some(Instant::now());
+        for targets in inner.targets.values_mut() {
             targets.remove(name);
         }
     }
@@ -172,6 +193,7 @@
                 }
             }
         }
+        inner.disrupted = Some(now);
         inner.evacuated = zones;
     }
 
@@ -188,6 +210,11 @@
         let (name, vms) = (&self.name, &inner.vms);
         let work = inner.work.get(&query.service).copied().unwrap_or_default().get();
         let targets = inner.targets.get_mut(&query.service).ok_or(NoSeat::NoTarget)?;
+        // Where targets were lost, their requests have to go elsewhere at once. Large bodies are
+        // few and stay near anyway.
+        let calm = inner.disrupted.is_none_or(|at| now.duration_since(at) >= Self::DISRUPTION);
+        let bound = calm && !query.streamed;
+        let closed = if bound { inner.shift.closed(now) } else { Vec::new() };
         let mut usable: Vec<(f64, &mut TargetState)> = targets
             .values_mut()
             .filter(|state| is_usable(state, query, &inner.evacuated, now))
@@ -200,6 +227,9 @@
             let share = || start_share(burst, name, vms, &state.record.name);
             !state.is_cold(now) || state.starts.has_room(now, share())
         });
+        if usable.iter().any(|(_, state)| !closed.contains(&state.region)) {
+            usable.retain(|(_, state)| !closed.contains(&state.region));
+        }
         if query.object.is_some() && !query.streamed {
             usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
             usable.truncate(Self::REPLICAS);
@@ -219,6 +249,7 @@
         let crowd = state.crowd(now);
         state.load.begin();
         state.starts.note(now);
+        inner.shift.note(&state.region, now);
         let place = Place {
             born: state.record.born,
             name: state.record.name.clone(),
@@ -264,6 +295,7 @@
     }
 
     pub(super) fn note_lost(&self, place: &Place) {
+        self.lock().disrupted = Some(Instant::now());
         self.with_state(place, |state| {
             let now = Instant::now();
             state.health.note_lost(now);
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -23,7 +23,7 @@
 fn board_of(vm: &str) -> Arc<TargetBoard> {
     let zones = [("lis-a", "lisboa"), ("lis-b", "lisboa"), ("por-a", "porto")];
     let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
-    let rules = BoardRules { cold_burst: 4.0, cold_factor: 1.5 };
+    let rules = BoardRules { cold_burst: 4.0, cold_factor: 1.5, max_shift: 1.0 };
     let here = ("lis-a".into(), "lisboa".into());
     let board = TargetBoard::new(vm.into(), here, BTreeMap::from(zones), rules);
     let rules =
