Log each request that goes wrong, and run the whole path as a process in a test

Cause: on-call had no line for a refused or failed request, and no test ran the program between stand-ins. Change: bounded lines with id, route, version, target, load and outcome, and one in 64 of the served requests; process tests for configurations, reused addresses, SIGHUP and SIGTERM; a check that names of the platform stay in its folder.

--- /dev/null
+++ b/crates/ragwortswitch/tests/router.rs
@@ -0,0 +1,191 @@
+//! A VM on the users' platform as a process, between stand-ins of the store and of targets.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use adapters::{ConnectionPool, Listener, ListenerLimits};
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use lab::ObjectStore;
+use serde_json::{Value, json};
+use std::{
+    env, fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::Arc,
+    time::Duration,
+};
+use steer::{Body, empty_body, full_body};
+use tokio::time::{Instant, sleep, timeout};
+
+const WAIT: Duration = Duration::from_secs(10);
+const WORK: Duration = Duration::from_millis(600);
+
+/// An address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A target that works for a while and says who it is.
+async fn start_target(name: &'static str) -> SocketAddr {
+    let listener =
+        Listener::bind("127.0.0.1:0".parse().unwrap(), ListenerLimits::default()).await.unwrap();
+    let address = listener.address().unwrap();
+    tokio::spawn(listener.serve(move |request: Request<Body>, _| async move {
+        let headers = request.headers().clone();
+        if headers.get("expect-instance").is_some_and(|expected| expected != name) {
+            let mut response = Response::new(empty_body());
+            *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return response;
+        }
+        sleep(WORK).await;
+        let mut response = Response::new(full_body(name));
+        response.headers_mut().insert("response-stamp", "3e1b.07".parse().unwrap());
+        if let Some(id) = headers.get("request-id") {
+            response.headers_mut().insert("request-id", id.clone());
+        }
+        response
+    }));
+    address
+}
+
+struct World {
+    callers: SocketAddr,
+    directory: SocketAddr,
+    file: PathBuf,
+    pool: Arc<ConnectionPool>,
+    process: Child,
+    ready: SocketAddr,
+    store: ObjectStore,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+fn configuration(version: &str, service: &str) -> Value {
+    let route = json!({ "name": "r-1", "host": "a.example", "path_prefix": "/", "kind": "safe",
+                        "timeout_s": 5, "attempts": 2, "service": service });
+    json!({ "version": version, "routes": [route], "services": [], "limits": {} })
+}
+
+fn register(store: &ObjectStore, name: &str, service: &str, address: SocketAddr, state: &str) {
+    let info = json!({ "service": service, "version": "v1", "zone": "lis-a", "slots": 7 });
+    let status = json!({ "state": state, "seq_no": 1, "cold_remaining_s": 0 });
+    store.put("servers", name, json!({ "address": address, "info": info }), status);
+}
+
+impl World {
+    async fn start(test: &str) -> Self {
+        let store = ObjectStore::default();
+        let (store_address, _) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let [callers, directory, peers, ready] = [(); 4].map(|()| free_address());
+        let settings = json!({
+            "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "directory": directory,
+            "grace_s": 6, "max_shift": 0.15, "name": "entry-1", "peers": peers, "ready": ready,
+            "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
+            "zones": { "lis-a": "lisboa" },
+        });
+        let file = env::temp_dir().join(format!("router-{test}-{}.jsonc", std::process::id()));
+        fs::write(&file, format!("// Written by a test.\n{settings}")).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_ragwortswitch"))
+            .arg("router")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let pool = ConnectionPool::new();
+        let world = Self { callers, directory, file, pool, process, ready, store };
+        world.expect(world.ready, "/-/ready", "503 ").await;
+        world
+    }
+
+    async fn ask(&self, address: SocketAddr, path: &str) -> String {
+        let request = Request::get(path).header("host", "a.example").header("request-id", "9c41");
+        let request = request.body(empty_body()).unwrap();
+        let Ok(response) = self.pool.send(address, request).await else {
+            return "no answer".to_owned();
+        };
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        format!("{status} {}", std::str::from_utf8(&body).unwrap())
+    }
+
+    /// Asks until the answer begins as expected.
+    async fn expect(&self, address: SocketAddr, path: &str, answer: &str) {
+        let start = Instant::now();
+        let mut last = String::new();
+        while start.elapsed() < WAIT {
+            last = self.ask(address, path).await;
+            if last.starts_with(answer) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{path}: expected {answer:?}, got {last:?}");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.process.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap().success());
+    }
+}
+
+#[tokio::test]
+async fn serves_by_the_newest_configuration_and_leaves_targets_that_leave() {
+    let world = World::start("serves").await;
+    assert!(world.ask(world.callers, "/x").await.starts_with("503 "), "nothing is known yet");
+    let (first, second) = (start_target("i-1").await, start_target("i-2").await);
+    register(&world.store, "i-1", "briefs", first, "ready");
+    register(&world.store, "i-2", "media", second, "ready");
+    world.store.put("config", "main", configuration("00000003", "briefs"), Value::Null);
+    world.expect(world.callers, "/x", "200 i-1").await;
+    world.expect(world.ready, "/-/ready", "200 ").await;
+    let directory =
+        world.ask(world.directory, "/-/resolve?name=a.example&region=lisboa&zone=lis-a");
+    let directory = directory.await;
+    assert!(directory.contains(&world.callers.to_string()), "{directory}");
+    world.store.put("config", "main", configuration("0000000a", "media"), Value::Null);
+    world.expect(world.callers, "/x", "200 i-2").await;
+    world.store.put("config", "main", configuration("00000007", "briefs"), Value::Null);
+    register(&world.store, "i-3", "media", first, "ready");
+    register(&world.store, "i-2", "media", second, "draining");
+    // The address of i-3 is that of i-1, which answers that it is another one.
+    world.expect(world.callers, "/x", "503 ").await;
+}
+
+#[tokio::test]
+async fn a_hangup_changes_nothing_and_a_stop_cuts_nothing() {
+    let mut world = World::start("stops").await;
+    let target = start_target("i-1").await;
+    register(&world.store, "i-1", "briefs", target, "ready");
+    world.store.put("config", "main", configuration("00000003", "briefs"), Value::Null);
+    world.expect(world.callers, "/x", "200 i-1").await;
+    world.signal("HUP");
+    world.expect(world.callers, "/x", "200 i-1").await;
+    let during = {
+        let running = world.ask(world.callers, "/x");
+        let stop = async {
+            sleep(WORK / 3).await;
+            world.signal("TERM");
+        };
+        tokio::join!(running, stop).0
+    };
+    assert_eq!(during, "200 i-1");
+    world.expect(world.ready, "/-/ready", "503 ").await;
+    assert_eq!(world.ask(world.callers, "/x").await, "200 i-1", "late callers are served");
+    let ended = timeout(WAIT, async {
+        loop {
+            if let Some(status) = world.process.try_wait().unwrap() {
+                return status;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    assert_eq!(ended.await.unwrap().code(), Some(0));
+}
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -6,9 +6,10 @@
     Router, Seat, SendPass, ServiceName, TargetIdentity, TargetReport, Verdict, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
-use slog::{debug, info};
+use slog::info;
 use std::time::Duration;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most targets that can't be reached before a request is refused; nothing was sent to them.
 const MOST_UNREACHED: u32 = 3;
@@ -42,17 +43,35 @@
     let service = route.split.choose();
     let wait = caller.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     router.note_request(service);
-    let forward = Forward { caller, route, router, service, until: arrived + wait };
-    forward.run(request).await
+    let forward = Forward {
+        arrived,
+        caller,
+        route,
+        router,
+        service,
+        until: arrived + wait,
+        version: table.version,
+    };
+    let end = forward.run(request).await;
+    forward.log_end(&end);
+    end
+}
+
+/// Whether a served request is logged: one in 64, the same ones at every VM.
+fn is_sampled(id: &str) -> bool {
+    xxh3_64(id.as_bytes()).is_multiple_of(64)
 }
 
 /// A request on its way.
 struct Forward<'a> {
+    arrived: Instant,
     caller: &'a CallerRequest,
     route: &'a Route,
     router: &'a Router,
     service: &'a ServiceName,
     until: Instant,
+    /// Version of the configuration that names the route.
+    version: u64,
 }
 
 /// Where the next try takes its request from.
@@ -109,7 +128,7 @@
 }
 
 impl Forward<'_> {
-    async fn run(self, request: Request<Body>) -> Result<Response<Body>, Refusal> {
+    async fn run(&self, request: Request<Body>) -> Result<Response<Body>, Refusal> {
         let mut supply = Supply::new(request, self.route.streamed).await?;
         let object = self.caller.object.as_deref().filter(|_| self.route.sticky);
         let mut query = PlaceQuery::new(self.service.clone())
@@ -168,9 +187,6 @@
     }
 
     fn refuse_room(&self, reason: NoSeat) -> Refusal {
-        info!(self.router.log(), "request: refused";
-            "id" => &*self.caller.id, "route" => %self.route.name, "service" => %self.service,
-            "reason" => %reason);
         let wait = match reason {
             NoSeat::Full(wait) => wait.clamp(LEAST_ROOM_WAIT, ROOM_WAIT),
             NoSeat::NoTarget => ROOM_WAIT,
@@ -234,8 +250,45 @@
     }
 
     fn log_try(&self, seat: &Seat, reason: &impl std::fmt::Display) {
-        debug!(self.router.log(), "request: try failed";
+        let Some(dropped) = self.router.take_line() else { return };
+        info!(self.router.log(), "request: try failed";
             "id" => &*self.caller.id, "route" => %self.route.name, "target" => %seat.target().name,
-            "reason" => %reason);
+            "report" => seat.target().report, "crowd" => seat.crowd(),
+            "after_ms" => self.elapsed_ms(), "reason" => %reason, "dropped" => dropped);
+    }
+
+    /// Logs each request without a good answer, and some of the others.
+    fn log_end(&self, end: &Result<Response<Body>, Refusal>) {
+        match end {
+            Ok(response) if !response.status().is_server_error() => {
+                if !is_sampled(&self.caller.id) {
+                    return;
+                }
+                let Some(dropped) = self.router.take_line() else { return };
+                info!(self.router.log(), "request: served"; "id" => &*self.caller.id,
+                    "route" => %self.route.name, "service" => %self.service,
+                    "version" => self.version, "status" => response.status().as_u16(),
+                    "after_ms" => self.elapsed_ms(), "dropped" => dropped);
+            }
+            Ok(response) => {
+                let Some(dropped) = self.router.take_line() else { return };
+                info!(self.router.log(), "request: failed at its target"; "id" => &*self.caller.id,
+                    "route" => %self.route.name, "service" => %self.service,
+                    "version" => self.version, "status" => response.status().as_u16(),
+                    "after_ms" => self.elapsed_ms(), "dropped" => dropped);
+            }
+            Err(refusal) => {
+                let Some(dropped) = self.router.take_line() else { return };
+                info!(self.router.log(), "request: refused"; "id" => &*self.caller.id,
+                    "route" => %self.route.name, "service" => %self.service,
+                    "version" => self.version, "kind" => refusal.kind.slug(),
+                    "outcome" => %refusal.answer().outcome, "detail" => &refusal.detail,
+                    "after_ms" => self.elapsed_ms(), "dropped" => dropped);
+            }
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -1,6 +1,6 @@
 //! The shared state of an entry VM that sends straight to targets.
 
-use super::{RouterParts, RouterPorts};
+use super::{LogBudget, RouterParts, RouterPorts};
 use crate::{FleetView, RetryBudget, RouteTable, ServiceName, TargetBoard, VmState};
 use slog::{Logger, info};
 use std::{
@@ -8,7 +8,7 @@
     sync::{Arc, Mutex, RwLock},
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// Routes in force, targets, fleet and ports of one entry VM.
 #[derive(Debug)]
@@ -17,6 +17,7 @@
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     fleet: FleetView,
     grace: Duration,
+    lines: Mutex<LogBudget>,
     log: Logger,
     ports: RouterPorts,
     routes: RwLock<Option<Arc<RouteTable>>>,
@@ -24,6 +25,9 @@
 }
 
 impl Router {
+    /// Log lines about requests that are written a second; the rest are counted.
+    const MOST_LINES: u32 = 40;
+
     /// Makes the state of a VM that has no configuration yet.
     pub fn new(parts: RouterParts, state: watch::Receiver<VmState>) -> Self {
         let here = (parts.vm.zone.clone(), parts.vm.region.clone());
@@ -37,6 +41,7 @@
             budgets: Mutex::default(),
             fleet: FleetView::new(parts.vm),
             grace: parts.grace,
+            lines: Mutex::new(LogBudget::new(Self::MOST_LINES)),
             log: parts.log,
             ports: parts.ports,
             routes: RwLock::default(),
@@ -64,6 +69,12 @@
         &self.log
     }
 
+    /// Takes a log line about a request, and gives the number of lines dropped before it; `None`
+    /// where there are too many.
+    pub fn take_line(&self) -> Option<u64> {
+        self.lines.lock().expect("no holder of the lines' lock panics").take(Instant::now())
+    }
+
     /// The ports.
     pub fn ports(&self) -> &RouterPorts {
         &self.ports
--- a/crates/steer/src/placement/seat.rs
+++ b/crates/steer/src/placement/seat.rs
@@ -30,6 +30,11 @@
         &self.target
     }
 
+    /// Requests at the target when this one came, in parts of its slots; 1 at least.
+    pub fn crowd(&self) -> f64 {
+        self.crowd
+    }
+
     /// Notes that the target has run the request: what it took tells how long work takes there.
     pub fn note_work(&self) {
         self.board.note_work(&self.place, self.begun.elapsed().div_f64(self.crowd));
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -191,3 +191,40 @@
     }
     assert_eq!(pauses, [250, 500, 1_000, 2_000, 2_000, 2_000]);
 }
+
+/// Requests of a hundred that run in another region, second by second; the near target is
+/// crowded from the fourth second on.
+async fn moved(most: f64, spoil: impl Fn(&Arc<TargetBoard>)) -> Vec<u32> {
+    let zones = [("lis-a", "lisboa"), ("por-a", "porto")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    let rules = BoardRules { cold_burst: 0.0, cold_factor: 1.0, max_shift: most };
+    let here = ("lis-a".into(), "lisboa".into());
+    let board = Arc::new(TargetBoard::new("entry-0".into(), here, BTreeMap::from(zones), rules));
+    board.apply(target("near", "lis-a").slots(100));
+    board.apply(target("far", "por-a").slots(100));
+    let mut moved = vec![0; 9];
+    for (second, moved) in moved.iter_mut().enumerate() {
+        for _ in 0..100 {
+            advance(Duration::from_millis(10)).await;
+            let seat = board.place(&PlaceQuery::new("briefs")).unwrap();
+            let near = seat.target().name.as_str() == "near";
+            *moved += u32::from(!near);
+            if near && second >= 3 {
+                let load = LoadSample { running: 100, slots: 100, slowness: 9.0, waiting: 400 };
+                seat.note_answer(Some(load), false);
+            }
+        }
+        if second == 3 {
+            spoil(&board);
+        }
+    }
+    moved
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_change_their_region_within_the_bound() {
+    let free = moved(1.0, |_| {}).await;
+    let bound = moved(0.15, |_| {}).await;
+    let lost = moved(0.15, |board| board.remove(&"another".into())).await;
+    insta::assert_snapshot!(format!("free: {free:?}\nbound: {bound:?}\ntargets lost: {lost:?}"));
+}
--- a/scripts/check_style.py
+++ b/scripts/check_style.py
@@ -15,6 +15,10 @@
 FIELD = re.compile(r"^    (?:pub(?:\([a-z]+\))? )?([a-z][a-z0-9_]*): [^=]*,$")
 STRUCT = re.compile(r"^(?:pub(?:\([a-z]+\))? )?struct \w+.*\{$")
 FORBIDDEN = re.compile(r"\b(HashMap|HashSet)\b")
+WIRE_NAMES = re.compile(
+    r"response-stamp|expect-instance|server-load|affinity-key|deadline-ms\b|/-/|"
+    r"target_latency_s|cold_remaining_s|cold_per_s|seq_no|path_prefix|home_regions", re.IGNORECASE)
+WIRE_HOMES = ("platform", "crates/lab/src/stand_ins", "crates/steer/src/flows/call.rs")
 BANNER = re.compile(r"copyright|spdx|licensed under", re.IGNORECASE)
 
 
@@ -63,6 +67,10 @@
     for number, line in enumerate(lines, 1):
         if FORBIDDEN.search(line):
             yield f"{path}:{number}: unordered map; use BTreeMap or BTreeSet"
+    if not is_test(path) and not str(path).startswith(WIRE_HOMES):
+        for number, line in enumerate(lines, 1):
+            if WIRE_NAMES.search(line):
+                yield f"{path}:{number}: a name of the users' platform; it belongs into platform/"
     yield from check_uses(path, lines)
     yield from check_fields(path, lines)
 
