--- a/crates/lab/src/stand_ins/object_store.rs
+++ b/crates/lab/src/stand_ins/object_store.rs
@@ -84,7 +84,9 @@
     /// Writes an object as the operator or a target would.
     pub fn put(&self, kind: &str, name: &str, spec: Value, status: Value) {
         let metadata = json!({ "name": name, "finalizers": [], "deleting": false });
-        let object = json!({ "metadata": metadata, "spec": spec, "status": status });
+        let mut object = json!({ "metadata": metadata });
+        object["spec"] = spec;
+        object["status"] = status;
         self.store(kind, name, object);
     }
 
--- a/crates/steer/src/placement/no_seat.rs
+++ b/crates/steer/src/placement/no_seat.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum NoSeat {
     /// Every usable target has reached the bound on new work; there may be room after a time.
-    #[display("every target of the service is full")]
+    #[display("every target of the service is full for {} ms more", _0.as_millis())]
     Full(Duration),
     /// The service has no usable target.
     #[display("the service has no usable target")]
