Hand partial heads to hyper, so that its time limit holds

Cause: the whole check failed in closes_the_connection_of_a_caller_that_never _ends_its_head: bytes of an unfinished head were held back, and hyper never began to wait for its end. Change: all bytes go to hyper as they come; heads are looked for in a copy. Measured: the tests of the adapters pass.

--- a/crates/adapters/src/http/early_stream.rs
+++ b/crates/adapters/src/http/early_stream.rs
@@ -51,11 +51,12 @@
 
 #[derive(Debug)]
 struct State<T> {
+    /// Bytes that hyper hasn't read.
     ahead: BytesMut,
     ended: bool,
     framing: Framing,
-    /// Bytes at the front of `ahead` that belong to requests in `waiting`.
-    released: usize,
+    /// Bytes of a head that isn't whole.
+    head: BytesMut,
     stream: WriteLimit,
     waiting: VecDeque<Waiting<T>>,
 }
@@ -87,7 +88,7 @@
             ahead: BytesMut::new(),
             ended: false,
             framing: Framing::Head,
-            released: 0,
+            head: BytesMut::new(),
             stream,
             waiting: VecDeque::new(),
         };
@@ -141,43 +142,47 @@
         let filled = buf.filled();
         if read.is_err() || filled.is_empty() {
             self.ended = true;
-            self.released = self.ahead.len();
         }
         self.ahead.extend_from_slice(filled);
-        self.scan();
+        self.scan(filled);
         Poll::Ready(read.map(|()| filled.len()))
     }
 
-    /// Releases to hyper what belongs to whole heads or to bodies.
-    fn scan(&mut self) {
-        while self.released < self.ahead.len() {
-            match self.framing {
-                Framing::Opaque => self.released = self.ahead.len(),
-                Framing::Body(left) => {
-                    let here = (self.ahead.len() - self.released) as u64;
-                    let taken = here.min(left);
-                    self.released += taken as usize;
-                    let left = left - taken;
-                    self.framing = if left == 0 { Framing::Head } else { Framing::Body(left) };
+    /// Looks for whole heads in the next bytes.
+    fn scan(&mut self, mut bytes: &[u8]) {
+        if let Framing::Body(left) = self.framing {
+            let taken = usize::try_from(left).map_or(bytes.len(), |left| left.min(bytes.len()));
+            bytes = &bytes[taken..];
+            self.framing = match left - taken as u64 {
+                0 => Framing::Head,
+                left => Framing::Body(left),
+            };
+        }
+        if self.framing == Framing::Head {
+            self.head.extend_from_slice(bytes);
+        }
+        while self.framing == Framing::Head && !self.head.is_empty() {
+            match parse_head(&self.head) {
+                Head::Partial => return,
+                Head::Unclear => self.framing = Framing::Opaque,
+                // Hyper goes on alone: the order of the requests would be lost.
+                Head::Whole { .. } if self.waiting.len() >= MOST_WAITING => {
+                    self.framing = Framing::Opaque;
                 }
-                Framing::Head => match parse_head(&self.ahead[self.released..]) {
-                    Head::Partial => return,
-                    Head::Unclear => self.framing = Framing::Opaque,
-                    Head::Whole { length, .. } if self.waiting.len() >= MOST_WAITING => {
-                        // Hyper goes on alone: the order of the requests is lost.
-                        self.framing = Framing::Opaque;
-                        self.released += length;
-                    }
-                    Head::Whole { body, length, request } => {
-                        self.released += length;
-                        if body > 0 {
-                            self.framing = Framing::Body(body);
-                        }
-                        self.waiting.push_back(request.map_or(Waiting::Closed, Waiting::Open));
+                Head::Whole { body, length, request } => {
+                    self.head.advance(length);
+                    self.waiting.push_back(request.map_or(Waiting::Closed, Waiting::Open));
+                    let here = usize::try_from(body).unwrap_or(usize::MAX).min(self.head.len());
+                    self.head.advance(here);
+                    if here as u64 != body {
+                        self.framing = Framing::Body(body - here as u64);
                     }
-                },
+                }
             }
         }
+        if self.framing == Framing::Opaque {
+            self.head = BytesMut::new();
+        }
     }
 }
 
@@ -236,13 +241,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut state = self.lock();
-        while state.released == 0 && !state.ended {
+        while state.ahead.is_empty() && !state.ended {
             ready!(state.poll_fill(cx))?;
         }
-        let length = state.released.min(buf.remaining());
+        let length = state.ahead.len().min(buf.remaining());
         buf.put_slice(&state.ahead[..length]);
         state.ahead.advance(length);
-        state.released -= length;
         Poll::Ready(Ok(()))
     }
 }
