Keep large bodies nearer, and let them run anywhere in time

Change: leaving the zone costs 400 ms and the region 800 ms of the score, twice as much as before; a large body takes any target where it would not wait too long.

--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -88,9 +88,9 @@
     /// Cost of a target whose every answer fails, in parts of a usual work time.
     const FAILURES: f64 = 8.0;
     /// Cost of a large body that leaves its availability zone.
-    const CROSS_ZONE: Duration = Duration::from_millis(200);
+    const CROSS_ZONE: Duration = Duration::from_millis(400);
     /// Cost of a large body that leaves its region.
-    const CROSS_REGION: Duration = Duration::from_millis(400);
+    const CROSS_REGION: Duration = Duration::from_millis(800);
     /// Part of the bound on shifts that a VM uses, as the VMs' shares don't change alike.
     const SHIFT_PART: f64 = 0.8;
     /// Time after a loss of targets in which requests change their region freely.
@@ -238,11 +238,15 @@
             let wait = state.wait(now, work);
             (wait + cost(state, query, place, work, now), wait, state)
         });
-        let best = costs.min_by(|(a, _, _), (b, _, _)| a.total_cmp(b));
+        // A large body may run anywhere in time; the work on an object is worth waiting for at a
+        // target that has it, as a cold run takes the place of several others.
+        let most = query.patience.as_secs_f64();
+        let late = |wait: f64| query.streamed && wait > most;
+        let best = costs
+            .min_by(|(a, x, _), (b, y, _)| late(*x).cmp(&late(*y)).then_with(|| a.total_cmp(b)));
         let Some((_, wait, state)) = best else {
             return Err(NoSeat::Full(Self::COLD_PAUSE));
         };
-        let most = query.patience.as_secs_f64();
         if wait > most {
             return Err(NoSeat::Full(Duration::from_secs_f64(wait - most)));
         }
