Keep an object on two targets

Cause: targets keep about a third of the objects; with four targets an object, caches were just full, and each spill made a cold run. Change: placement compares the two targets that rank best for the object.

--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -78,7 +78,7 @@
 
 impl TargetBoard {
     /// Targets on which an object's requests meet, so that it stays warm there.
-    pub const REPLICAS: usize = 4;
+    pub const REPLICAS: usize = 2;
     /// Cost of a target that may not have the object at hand, in parts of a usual work time: the
     /// work takes about three times as long there.
     const COLD_OBJECT: f64 = 1.5;
