--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -260,19 +260,14 @@
     /// Logs each request without a good answer, and some of the others.
     fn log_end(&self, end: &Result<Response<Body>, Refusal>) {
         match end {
-            Ok(response) if !response.status().is_server_error() => {
-                if !is_sampled(&self.caller.id) {
+            Ok(response) => {
+                let failed = response.status().is_server_error();
+                if !failed && !is_sampled(&self.caller.id) {
                     return;
                 }
                 let Some(dropped) = self.router.take_line() else { return };
-                info!(self.router.log(), "request: served"; "id" => &*self.caller.id,
-                    "route" => %self.route.name, "service" => %self.service,
-                    "version" => self.version, "status" => response.status().as_u16(),
-                    "after_ms" => self.elapsed_ms(), "dropped" => dropped);
-            }
-            Ok(response) => {
-                let Some(dropped) = self.router.take_line() else { return };
-                info!(self.router.log(), "request: failed at its target"; "id" => &*self.caller.id,
+                let text = if failed { "request: failed at its target" } else { "request: served" };
+                info!(self.router.log(), "{text}"; "id" => &*self.caller.id,
                     "route" => %self.route.name, "service" => %self.service,
                     "version" => self.version, "status" => response.status().as_u16(),
                     "after_ms" => self.elapsed_ms(), "dropped" => dropped);
