Drop the grace time from the router, which nothing read

Cause: on rereading, the router kept the grace time and gave it to nobody; the command that stops the VM takes it from its settings. Change: the field, its accessor and their two lines in tests are gone.

--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -108,7 +108,6 @@
     let (vm, state) = Vm::join();
     let pool = ConnectionPool::new();
     let parts = RouterParts {
-        grace: settings.grace(),
         log: log.clone(),
         ports: RouterPorts {
             meter: Arc::new(NoMeter),
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -6,7 +6,6 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, RwLock},
-    time::Duration,
 };
 use tokio::{sync::watch, time::Instant};
 
@@ -16,7 +15,6 @@
     board: Arc<TargetBoard>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     fleet: FleetView,
-    grace: Duration,
     lines: Mutex<LogBudget>,
     log: Logger,
     ports: RouterPorts,
@@ -40,7 +38,6 @@
             )),
             budgets: Mutex::default(),
             fleet: FleetView::new(parts.vm),
-            grace: parts.grace,
             lines: Mutex::new(LogBudget::new(Self::MOST_LINES)),
             log: parts.log,
             ports: parts.ports,
@@ -59,11 +56,6 @@
         &self.fleet
     }
 
-    /// Time between the request to stop and the end by force.
-    pub fn grace(&self) -> Duration {
-        self.grace
-    }
-
     /// The log.
     pub fn log(&self) -> &Logger {
         &self.log
--- a/crates/steer/src/forwarding/router_parts.rs
+++ b/crates/steer/src/forwarding/router_parts.rs
@@ -2,7 +2,7 @@
 
 use crate::{BoardRules, Meter, Targets, VmRecord};
 use slog::Logger;
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc};
 
 /// The ports that a router uses.
 #[derive(Clone, Debug)]
@@ -16,8 +16,6 @@
 /// Who the VM is, where it stands and which bounds hold.
 #[derive(Clone, Debug)]
 pub struct RouterParts {
-    /// Time between SIGTERM and SIGKILL.
-    pub grace: Duration,
     /// The log.
     pub log: Logger,
     /// The ports.
--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -49,7 +49,6 @@
 
 fn router() -> Arc<Router> {
     let parts = RouterParts {
-        grace: Duration::from_secs(6),
         log: Logger::root(Discard, o!()),
         ports: RouterPorts { meter: Arc::new(NoMeter), targets: Arc::new(NoTargets) },
         rules: BoardRules::default(),
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -84,7 +84,6 @@
         targets.acts.lock().unwrap().extend(acts);
         let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
         let parts = RouterParts {
-            grace: Duration::from_secs(6),
             log: Logger::root(Discard, o!()),
             ports: RouterPorts { meter: Arc::new(NoMeter), targets: targets.clone() },
             rules: BoardRules::default(),
