Rank uploads by object within each place, not by name

Cause: on the grown sites a VM put uploads on the first names of the service: the cost of the next replica counted targets in the order of their names, so 84 VMs met on a few of 204 targets (7.5 times the mean), which reset 240 connections over their bound. Small sites hid it behind the wait. Ruled out: links and connection bounds, as reads on the same VMs were fine. Change: all targets are ranked by the object's hash, or by the VM's own name where there is none; for large bodies replicas are counted in each place.

--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -215,10 +215,13 @@
         let calm = inner.disrupted.is_none_or(|at| now.duration_since(at) >= Self::DISRUPTION);
         let bound = calm && !query.streamed;
         let closed = if bound { inner.shift.closed(now) } else { Vec::new() };
+        // Without an object each VM has an order of its own, so that VMs that know nothing of the
+        // load don't all choose the same target.
+        let order = query.object.unwrap_or_else(|| ObjectHash::new("", name.as_str().as_bytes()));
         let mut usable: Vec<(f64, &mut TargetState)> = targets
             .values_mut()
             .filter(|state| is_usable(state, query, &inner.evacuated, now))
-            .map(|state| (rank(state, query), state))
+            .map(|state| (order.rank(state.record.name.as_str()), state))
             .collect();
         if usable.is_empty() {
             return Err(NoSeat::NoTarget);
@@ -230,13 +233,19 @@
         if usable.iter().any(|(_, state)| !closed.contains(&state.region)) {
             usable.retain(|(_, state)| !closed.contains(&state.region));
         }
+        usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         if query.object.is_some() && !query.streamed {
-            usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
             usable.truncate(Self::REPLICAS);
         }
-        let costs = usable.into_iter().enumerate().map(|(place, (_, state))| {
+        let mut places: BTreeMap<Distance, usize> = BTreeMap::new();
+        let costs = usable.into_iter().map(|(_, state)| {
+            // A large body's replicas are counted in each place apart, as it stays near.
+            let near = if query.streamed { state.distance } else { Distance::Zone };
+            let place = places.entry(near).or_default();
             let wait = state.wait(now, work);
-            (wait + cost(state, query, place, work, now), wait, state)
+            let cost = wait + cost(state, query, *place, work, now);
+            *place = (*place + 1).min(Self::REPLICAS);
+            (cost, wait, state)
         });
         // A large body may run anywhere in time; the work on an object is worth waiting for at a
         // target that has it, as a cold run takes the place of several others.
@@ -326,11 +335,6 @@
         && (query.homes.is_empty() || query.homes.contains(&state.region))
 }
 
-/// Rank of a target for the query's object; lower is preferred.
-fn rank(state: &TargetState, query: &PlaceQuery) -> f64 {
-    query.object.map_or(0.0, |object| object.rank(state.record.name.as_str()))
-}
-
 /// Cost of a target beside the wait there, in seconds; lower is better.
 fn cost(state: &TargetState, query: &PlaceQuery, place: usize, work: f64, now: Instant) -> f64 {
     let replica = match query.object {
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -228,3 +228,34 @@
     let lost = moved(0.15, |board| board.remove(&"another".into())).await;
     insta::assert_snapshot!(format!("free: {free:?}\nbound: {bound:?}\ntargets lost: {lost:?}"));
 }
+
+/// Targets that get the first upload of each of many VMs of a zone, most used first.
+fn spread(object: Option<&[u8]>) -> Vec<(usize, String)> {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for vm in 0..12 {
+        let board = board_of(&format!("entry-{vm}"));
+        for i in 0..24 {
+            board.apply(target(&format!("t-{i:02}"), ["lis-a", "lis-b", "por-a"][i % 3]));
+        }
+        let object = object.map(|object| ObjectHash::new("uploads", object));
+        let query = PlaceQuery::new("briefs").streamed(true).object(object);
+        let seats: Vec<Seat> = (0..3).map(|_| board.place(&query).unwrap()).collect();
+        for seat in seats {
+            assert_eq!(seat.target().zone.as_str(), "lis-a");
+            *counts.entry(seat.target().name.to_string()).or_default() += 1;
+        }
+    }
+    let mut counts: Vec<_> = counts.into_iter().map(|(name, count)| (count, name)).collect();
+    counts.sort_unstable_by(|a, b| b.cmp(a));
+    counts
+}
+
+#[tokio::test(start_paused = true)]
+async fn uploads_of_many_vms_spread_over_the_targets_of_their_zone() {
+    let mut table = String::new();
+    writeln!(table, "without an object: {:?}", spread(None)).unwrap();
+    for object in ["a", "b", "c", "d"] {
+        writeln!(table, "object {object}: {:?}", spread(Some(object.as_bytes()))).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
