Let delegates of a region read the store and pass the news on

Ruled out: stale reads, which may be older than the bounds on drains; longer waits, as each heartbeat that changes a registration ends a watch. Change: in regions of more than four VMs two delegates read the store; the others ask them over jsonrpsee for news since their revisions, and read the store themselves where none is fresh. VMs greet those of their region and the delegates of the others, who tell which VMs of their region live. Small fleets work as before.

--- a/crates/adapters/src/peers/mod.rs
+++ b/crates/adapters/src/peers/mod.rs
@@ -1,12 +1,13 @@
 //! Messages between entry VMs over jsonrpsee, and requests handed over by hyper.
 
-mod hello_server;
+mod fleet_server;
 mod rpc_peers;
 mod rpc_server;
 mod wire;
 mod wire_exchange;
 mod wire_hello;
 mod wire_lease;
+mod wire_news;
 mod wire_suspects;
 
-pub use self::{hello_server::serve_greetings, rpc_peers::RpcPeers, rpc_server::serve_peers};
+pub use self::{fleet_server::serve_fleet, rpc_peers::RpcPeers, rpc_server::serve_peers};
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -5,6 +5,7 @@
     wire_exchange::WireExchange,
     wire_hello::{HELLO, WireHello},
     wire_lease::{LEASE, WireAsk, WireGrant},
+    wire_news::{NEWS, WireNewsQuery, WireNewsReply, read_reply},
     wire_suspects::{SUSPECTS, WireSuspects},
 };
 use crate::{ConnectionPool, strip_hop_headers, to_origin_form};
@@ -27,8 +28,8 @@
     time::Duration,
 };
 use steer::{
-    Body, ControlPart, ControlUsage, Exchange, Greeter, Heartbeat, PeerError, PeerMessage,
-    PeerReply, Peers, SendError, SettingsBatch, VmHello,
+    Body, ControlPart, ControlUsage, Exchange, Greeter, Heartbeat, NewsPeers, NewsQuery, NewsReply,
+    PeerError, PeerMessage, PeerReply, Peers, SendError, SettingsBatch, VmHello,
 };
 
 /// Bytes of a message around its parameters or result: JSON-RPC's envelope and the frame's head.
@@ -201,6 +202,15 @@
     }
 }
 
+#[async_trait]
+impl NewsPeers for RpcPeers {
+    async fn ask_news(&self, peer: SocketAddr, query: &NewsQuery) -> Result<NewsReply, PeerError> {
+        let method = (NEWS, ControlPart::Settings);
+        let reply: WireNewsReply = self.request(peer, method, &WireNewsQuery::from(query)).await?;
+        Ok(read_reply(reply))
+    }
+}
+
 impl Debug for RpcPeers {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.debug_struct("RpcPeers").field("clients", &self.lock().len()).finish()
--- a/crates/adapters/src/peers/wire_hello.rs
+++ b/crates/adapters/src/peers/wire_hello.rs
@@ -1,8 +1,8 @@
 //! Greetings between VMs as they are encoded; names are short because they are sent often.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
-use steer::{VmHello, VmRecord};
+use std::{collections::BTreeSet, net::SocketAddr};
+use steer::{VmHello, VmName, VmRecord};
 
 /// Method that exchanges greetings.
 pub(super) const HELLO: &str = "hello";
@@ -11,8 +11,14 @@
 pub(super) struct WireHello {
     /// Addresses for callers and for VMs.
     a: [SocketAddr; 2],
+    /// Thousandths of a core.
+    #[serde(default)]
+    c: u32,
     i: u64,
     l: bool,
+    /// Live VMs of the sender's region.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    m: BTreeSet<VmName>,
     n: String,
     r: String,
     #[serde(default)]
@@ -25,8 +31,10 @@
         let vm = &hello.vm;
         Self {
             a: [vm.callers, vm.peers],
+            c: vm.capacity,
             i: vm.incarnation,
             l: hello.leaving,
+            m: hello.live.clone(),
             n: vm.name.to_string(),
             r: vm.region.to_string(),
             s: hello.store_lost,
@@ -40,12 +48,13 @@
         let [callers, peers] = wire.a;
         let vm = VmRecord {
             callers,
+            capacity: wire.c,
             incarnation: wire.i,
             name: wire.n.into(),
             peers,
             region: wire.r.into(),
             zone: wire.z.into(),
         };
-        Self { leaving: wire.l, store_lost: wire.s, vm }
+        Self { leaving: wire.l, live: wire.m, store_lost: wire.s, vm }
     }
 }
--- /dev/null
+++ b/crates/adapters/src/peers/wire_news.rs
@@ -0,0 +1,76 @@
+//! News of the store as VMs encode them for each other; names are short as they are sent often.
+
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use steer::{KindNews, NewsQuery, NewsReply, RawNews, RawObject};
+
+/// Method that asks for news.
+pub(super) const NEWS: &str = "news";
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireNewsQuery {
+    /// Revision that the sender has, by kind.
+    r: BTreeMap<Arc<str>, u64>,
+    /// Longest wait in milliseconds.
+    w: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireNews {
+    /// Age in milliseconds.
+    a: u64,
+    /// All objects.
+    #[serde(default, skip_serializing_if = "is_false")]
+    f: bool,
+    /// Objects: name, text, whether it was removed.
+    o: Vec<(Arc<str>, Arc<str>, bool)>,
+    /// Revision of the store.
+    r: u64,
+}
+
+pub(super) type WireNewsReply = BTreeMap<Arc<str>, WireNews>;
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl From<&NewsQuery> for WireNewsQuery {
+    fn from(query: &NewsQuery) -> Self {
+        Self { r: query.revisions.clone(), w: millis(query.wait) }
+    }
+}
+
+impl From<WireNewsQuery> for NewsQuery {
+    fn from(wire: WireNewsQuery) -> Self {
+        Self { revisions: wire.r, wait: Duration::from_millis(wire.w) }
+    }
+}
+
+impl From<KindNews> for WireNews {
+    fn from(kind: KindNews) -> Self {
+        let objects = kind.news.objects.into_iter().map(|o| (o.name, o.text, o.deleted));
+        Self { a: millis(kind.age), f: kind.full, o: objects.collect(), r: kind.news.revision }
+    }
+}
+
+impl From<WireNews> for KindNews {
+    fn from(wire: WireNews) -> Self {
+        let objects =
+            wire.o.into_iter().map(|(name, text, deleted)| RawObject { deleted, name, text });
+        let news = RawNews::new(objects.collect(), wire.r);
+        Self { age: Duration::from_millis(wire.a), full: wire.f, news }
+    }
+}
+
+pub(super) fn write_reply(reply: NewsReply) -> WireNewsReply {
+    reply.into_iter().map(|(kind, news)| (kind, news.into())).collect()
+}
+
+pub(super) fn read_reply(wire: WireNewsReply) -> NewsReply {
+    wire.into_iter().map(|(kind, news)| (kind, news.into())).collect()
+}
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -6,7 +6,7 @@
 };
 use adapters::{
     ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, RpcPeers,
-    open_log, serve_greetings,
+    open_log, serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
@@ -24,9 +24,9 @@
     time::{Duration, SystemTime},
 };
 use steer::{
-    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, NoMeter, Registry, Router,
-    RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm, VmFollower, VmRegistry,
-    follow_registry, greet_fleet,
+    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, NewsBoard, NoMeter, Registry,
+    RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm,
+    VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -55,6 +55,18 @@
     period: Duration::from_secs(1),
     wait: Duration::from_secs(20),
 };
+/// Relayed targets: a leaving one binds within two seconds and more.
+const TARGET_RELAY: RelayPace =
+    RelayPace { fresh: Duration::from_millis(1_900), wait: Duration::from_secs(1) };
+/// Relayed configurations, which bind within two seconds and more.
+const CONFIGURATION_RELAY: RelayPace =
+    RelayPace { fresh: Duration::from_millis(2_100), wait: Duration::from_millis(1_200) };
+/// Relayed evacuations, which bind within five seconds.
+const EVACUATION_RELAY: RelayPace =
+    RelayPace { fresh: Duration::from_millis(3_000), wait: Duration::from_secs(2) };
+/// Relayed registrations of entry VMs; greetings tell the news sooner.
+const VM_RELAY: RelayPace =
+    RelayPace { fresh: Duration::from_secs(22), wait: Duration::from_secs(20) };
 /// Longest idle time of a caller's connection; above any limit that operators set.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 /// Time for which a stopping VM still takes connections, so that callers with an old directory
@@ -122,13 +134,15 @@
 
     let control = ListenerControl::new();
     listen(&settings, &router, &control).await?;
-    let _greetings = serve_greetings(Arc::clone(&router), settings.peers).await?;
+    let board = NewsBoard::new();
+    let _fleet = serve_fleet(Arc::clone(&router), Arc::clone(&board), settings.peers).await?;
     info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
 
     let client = StoreClient::new(settings.store);
-    follow_store(&router, &client);
-    let greeter = Arc::new(RpcPeers::new(pool));
-    tokio::spawn(greet_fleet(Arc::clone(&router), greeter, state));
+    follow_store(&router, &board, &client);
+    let peers = Arc::new(RpcPeers::new(pool));
+    tokio::spawn(ask_delegates(Arc::clone(&router), board, Arc::clone(&peers) as _));
+    tokio::spawn(greet_fleet(Arc::clone(&router), peers, state));
     let registry = StoreVms::new(&client);
     let registration = tokio::spawn(register(Arc::clone(&router), registry.clone()));
 
@@ -182,16 +196,23 @@
 }
 
 /// Follows the registries of the store, one task each.
-fn follow_store(router: &Arc<Router>, client: &StoreClient) {
+fn follow_store(router: &Arc<Router>, board: &Arc<NewsBoard>, client: &StoreClient) {
     let returns = StoreReturns::new();
-    let configurations = ConfigurationFollower::new(Arc::clone(router));
-    follow(router, configuration_registry(client), configurations, NEWS_PACE, &returns);
-    let evacuations = EvacuationFollower::new(Arc::clone(router));
-    follow(router, evacuation_registry(client), evacuations, NEWS_PACE, &returns);
-    let targets = TargetFollower::new(Arc::clone(router));
-    follow(router, target_registry(client), targets, TARGET_PACE, &returns);
-    let vms = VmFollower::new(Arc::clone(router));
-    follow(router, vm_registry(client), vms, VM_PACE, &returns);
+    let source = |pace| {
+        let (router, board) = (Arc::clone(router), Arc::clone(board));
+        Arc::new(RelayedSource::new(router, board, pace, Arc::new(client.clone())))
+    };
+    let registry = configuration_registry(source(CONFIGURATION_RELAY));
+    let follower = ConfigurationFollower::new(Arc::clone(router));
+    follow(router, registry, follower, NEWS_PACE, &returns);
+    let registry = evacuation_registry(source(EVACUATION_RELAY));
+    let follower = EvacuationFollower::new(Arc::clone(router));
+    follow(router, registry, follower, NEWS_PACE, &returns);
+    let registry = target_registry(source(TARGET_RELAY));
+    let follower = TargetFollower::new(Arc::clone(router));
+    follow(router, registry, follower, TARGET_PACE, &returns);
+    let registry = vm_registry(source(VM_RELAY));
+    follow(router, registry, VmFollower::new(Arc::clone(router)), VM_PACE, &returns);
 }
 
 fn follow<T: Send + 'static>(
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -11,10 +11,14 @@
 pub(crate) struct RouterSettings {
     /// Address for callers' requests.
     pub(crate) callers: SocketAddr,
+    /// Cores that this VM sees.
+    pub(crate) cores: f64,
     /// Requests in a second that a cold target gets above its rate, from all VMs together.
     pub(crate) cold_burst: f64,
     /// Factor on a cold target's rate.
     pub(crate) cold_factor: f64,
+    /// Part of the cores that this VM may use.
+    pub(crate) cpu_share: f64,
     /// Address of the directory.
     pub(crate) directory: SocketAddr,
     /// Seconds between SIGTERM and SIGKILL.
@@ -76,6 +80,7 @@
     pub(crate) fn vm(&self, incarnation: u64) -> VmRecord {
         VmRecord {
             callers: self.callers,
+            capacity: (self.cores * self.cpu_share * 1_000.0) as u32,
             incarnation,
             name: self.name.clone(),
             peers: self.peers,
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -86,7 +86,8 @@
         let (store_address, _) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let [callers, directory, peers, ready] = [(); 4].map(|()| free_address());
         let settings = json!({
-            "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "directory": directory,
+            "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
+            "cpu_share": 0.2, "directory": directory,
             "grace_s": 6, "max_shift": 0.15, "name": "entry-1", "peers": peers, "ready": ready,
             "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
             "zones": { "lis-a": "lisboa" },
--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -1,8 +1,9 @@
 //! Which entry VMs are alive.
 
 use super::{VmHello, VmRecord};
-use crate::{AvailabilityZoneName, RegionName, VmName};
+use crate::{AvailabilityZoneName, ObjectHash, RegionName, VmName};
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
@@ -12,17 +13,25 @@
 
 #[derive(Clone, Debug)]
 struct Member {
+    /// When the VM last greeted or replied.
     heard: Option<Instant>,
     leaving: bool,
     /// When the VM last said that it does not reach the store.
     lost: Option<Instant>,
+    /// When a VM of its region last said that it lives.
+    vouched: Option<Instant>,
     vm: VmRecord,
 }
 
 impl Member {
+    fn new(vm: VmRecord) -> Self {
+        Self { heard: None, leaving: false, lost: None, vouched: None, vm }
+    }
+
     fn is_live(&self, now: Instant) -> bool {
-        let heard = self.heard.is_some_and(|at| now.duration_since(at) < FleetView::SILENCE);
-        heard && !self.leaving
+        let within = |at: Option<Instant>, most| at.is_some_and(|at| now - at < most);
+        let heard = within(self.heard, FleetView::SILENCE);
+        !self.leaving && (heard || within(self.vouched, FleetView::VOUCHED))
     }
 }
 
@@ -35,12 +44,32 @@
     store_lost: Option<Instant>,
 }
 
+impl Inner {
+    fn live(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
+        self.members.values().filter(move |m| m.is_live(now)).map(|m| &m.vm)
+    }
+}
+
+/// The delegates among some VMs: those with most processor, others by a hash of their names, so
+/// that all VMs choose alike.
+fn choose_delegates<'a>(vms: impl Iterator<Item = &'a VmRecord>) -> Vec<&'a VmRecord> {
+    let mut vms: Vec<&VmRecord> = vms.collect();
+    let hash = ObjectHash::new("delegate", b"");
+    vms.sort_by_cached_key(|vm| {
+        let rank = (hash.rank(vm.name.as_str()) * f64::from(u32::MAX)) as u32;
+        (Reverse(vm.capacity), rank)
+    });
+    vms.truncate(FleetView::DELEGATES);
+    vms
+}
+
 /// The entry VMs that this one knows, and when it last heard each.
 ///
 /// ```
 /// use steer::{FleetView, VmRecord};
 /// let vm = VmRecord {
 ///     callers: "10.0.0.1:80".parse().unwrap(),
+///     capacity: 200,
 ///     incarnation: 1,
 ///     name: "entry-1".into(),
 ///     peers: "10.0.0.1:81".parse().unwrap(),
@@ -59,8 +88,16 @@
 impl FleetView {
     /// Most addresses in a directory answer.
     pub const MOST_ADDRESSES: usize = 64;
+    /// Delegates of a region: one, and one more for when it is lost.
+    pub const DELEGATES: usize = 2;
+    /// Most VMs of a fleet in which each greets all others.
+    pub const SMALL_FLEET: usize = 16;
+    /// Most VMs of a region in which each reads the store itself.
+    pub const SMALL_REGION: usize = 4;
     /// Silence after which a VM is taken for lost: three greetings and their time limit.
     pub const SILENCE: Duration = Duration::from_millis(2_500);
+    /// Time for which the word of another region's delegate holds: two of its greetings.
+    pub const VOUCHED: Duration = Duration::from_secs(5);
 
     /// Makes the view of a VM that knows only itself.
     pub fn new(vm: VmRecord) -> Self {
@@ -76,11 +113,38 @@
         &self.vm
     }
 
-    /// What this VM tells others.
-    pub fn hello(&self) -> VmHello {
+    /// What this VM tells another one in a region. A delegate tells those of other regions who
+    /// lives in its own; in a small fleet each sees that for itself.
+    pub fn hello_to(&self, region: &RegionName) -> VmHello {
+        let now = Instant::now();
+        let inner = self.lock();
+        let (leaving, store_lost) = (inner.leaving, inner.store_lost.is_some());
+        let mut live = BTreeSet::new();
+        if *region != self.vm.region && inner.members.len() >= Self::SMALL_FLEET {
+            let near = || inner.live(now).filter(|vm| vm.region == self.vm.region);
+            let delegates = choose_delegates(near().chain([&self.vm]));
+            if delegates.iter().any(|vm| vm.name == self.vm.name) {
+                live = near().map(|vm| vm.name.clone()).collect();
+            }
+        }
+        VmHello { leaving, live, store_lost, vm: self.vm.clone() }
+    }
+
+    /// What this VM tells the one at an address.
+    pub fn hello_at(&self, peer: SocketAddr) -> VmHello {
+        let region = self.region_at(peer).unwrap_or_else(|| self.vm.region.clone());
+        self.hello_to(&region)
+    }
+
+    /// Whether the VM at an address stands in another region.
+    pub fn is_remote(&self, peer: SocketAddr) -> bool {
+        self.region_at(peer).is_some_and(|region| region != self.vm.region)
+    }
+
+    fn region_at(&self, peer: SocketAddr) -> Option<RegionName> {
         let inner = self.lock();
-        let store_lost = inner.store_lost.is_some();
-        VmHello { leaving: inner.leaving, store_lost, vm: self.vm.clone() }
+        let member = inner.members.values().find(|member| member.vm.peers == peer);
+        member.map(|member| member.vm.region.clone())
     }
 
     /// Takes this VM out of all directories.
@@ -102,8 +166,7 @@
         let mut inner = self.lock();
         let known = inner.members.get(&vm.name);
         if known.is_none_or(|member| member.vm.incarnation < vm.incarnation) {
-            let member = Member { heard: None, leaving: false, lost: None, vm };
-            inner.members.insert(member.vm.name.clone(), member);
+            inner.members.insert(vm.name.clone(), Member::new(vm));
         }
     }
 
@@ -126,10 +189,45 @@
         }
         let now = Instant::now();
         let lost = if hello.store_lost { Some(now) } else { known.and_then(|member| member.lost) };
-        let member = Member { heard: Some(now), leaving: hello.leaving, lost, vm: hello.vm };
+        let vouched = None;
+        for member in inner.members.values_mut() {
+            let told = member.vm.region == hello.vm.region && !hello.live.is_empty();
+            if told {
+                member.vouched = hello.live.contains(&member.vm.name).then_some(now);
+            }
+        }
+        let heard = Some(now);
+        let member = Member { heard, leaving: hello.leaving, lost, vouched, vm: hello.vm };
         inner.members.insert(name, member);
     }
 
+    /// Whether this VM reads the store itself: it is a delegate of its region, or the region is
+    /// small.
+    pub fn reads_store(&self) -> bool {
+        self.delegates().iter().any(|vm| vm.name == self.vm.name)
+    }
+
+    /// Whether delegates read the store for the other VMs of this region.
+    pub fn has_delegates(&self) -> bool {
+        let now = Instant::now();
+        let inner = self.lock();
+        // This VM is one of them, and not among the members.
+        inner.live(now).filter(|vm| vm.region == self.vm.region).count() >= Self::SMALL_REGION
+    }
+
+    /// The VMs of this region that read the store for the others; all of them where it is small.
+    pub fn delegates(&self) -> Vec<VmRecord> {
+        let now = Instant::now();
+        let inner = self.lock();
+        let own = (!inner.leaving).then_some(&self.vm);
+        let near = inner.live(now).filter(|vm| vm.region == self.vm.region).chain(own);
+        let near: Vec<&VmRecord> = near.collect();
+        if near.len() <= Self::SMALL_REGION {
+            return near.into_iter().cloned().collect();
+        }
+        choose_delegates(near.into_iter()).into_iter().cloned().collect()
+    }
+
     /// Notes that this VM does not reach the store.
     pub fn note_store_lost(&self) {
         self.lock().store_lost.get_or_insert_with(Instant::now);
@@ -150,14 +248,34 @@
     pub fn note_refused(&self, peer: SocketAddr) {
         for member in self.lock().members.values_mut().filter(|m| m.vm.peers == peer) {
             member.heard = None;
+            member.vouched = None;
         }
     }
 
-    /// Addresses of the VMs to greet.
+    /// Addresses of the VMs to greet: all of a small fleet; else those of the own region, the
+    /// delegates of the others, and seeds that aren't known yet.
     pub fn to_greet(&self) -> BTreeSet<SocketAddr> {
+        let now = Instant::now();
         let inner = self.lock();
-        let known = inner.members.values().map(|member| member.vm.peers);
-        known.chain(inner.seeds.iter().copied()).collect()
+        let all = || inner.members.values().map(|member| &member.vm);
+        if inner.members.len() < Self::SMALL_FLEET {
+            return all().map(|vm| vm.peers).chain(inner.seeds.iter().copied()).collect();
+        }
+        let known: BTreeSet<SocketAddr> = all().map(|vm| vm.peers).collect();
+        let mut found: BTreeSet<SocketAddr> = inner.seeds.difference(&known).copied().collect();
+        found.extend(all().filter(|vm| vm.region == self.vm.region).map(|vm| vm.peers));
+        let regions: BTreeSet<&RegionName> = all().map(|vm| &vm.region).collect();
+        for region in regions.into_iter().filter(|region| **region != self.vm.region) {
+            let live: Vec<_> = inner.live(now).filter(|vm| vm.region == *region).collect();
+            let known = all().filter(|vm| vm.region == *region);
+            let chosen = if live.is_empty() {
+                choose_delegates(known)
+            } else {
+                choose_delegates(live.into_iter())
+            };
+            found.extend(chosen.into_iter().map(|vm| vm.peers));
+        }
+        found
     }
 
     /// Names of all VMs that are registered or were heard, this one included: bounds that the
@@ -177,9 +295,8 @@
     ) -> Vec<SocketAddr> {
         let now = Instant::now();
         let inner = self.lock();
-        let others = inner.members.values().filter(|m| m.is_live(now)).map(|m| &m.vm);
         let own = (!inner.leaving).then_some(&self.vm);
-        let live: Vec<&VmRecord> = others.chain(own).collect();
+        let live: Vec<&VmRecord> = inner.live(now).chain(own).collect();
         let near = |fits: &dyn Fn(&AvailabilityZoneName, &RegionName) -> bool| {
             let fit = live.iter().filter(|vm| fits(&vm.zone, &vm.region));
             let mut found: Vec<SocketAddr> = fit.map(|vm| vm.callers).collect();
--- a/crates/steer/src/fleet/vm_record.rs
+++ b/crates/steer/src/fleet/vm_record.rs
@@ -8,6 +8,8 @@
 pub struct VmRecord {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Processor that the VM has, in thousandths of a core.
+    pub capacity: u32,
     /// Start of the process, in milliseconds of the Unix epoch.
     pub incarnation: u64,
     /// Name of the VM.
--- a/crates/steer/src/flows/follow_registry.rs
+++ b/crates/steer/src/flows/follow_registry.rs
@@ -38,7 +38,7 @@
     /// Longest pause between two calls while the store fails; another flow that reaches it ends
     /// the pause.
     pub pause: Duration,
-    /// Least time from one call to the next.
+    /// Least time from one call to the store to the next.
     pub period: Duration,
     /// Longest time that a call waits for a change.
     pub wait: Duration,
@@ -137,9 +137,13 @@
                 Ok(changes) => {
                     self.note_answer();
                     revision = changes.revision;
-                    changes.changes.into_iter().for_each(|change| self.follower.apply(change));
+                    for change in changes.changes {
+                        self.follower.apply(change);
+                    }
                     self.follower.settle();
-                    sleep_until(started + self.pace.period).await;
+                    if !changes.relayed {
+                        sleep_until(started + self.pace.period).await;
+                    }
                 }
                 Err(RegistryError::Expired) => {
                     info!(self.log, "store: history gone"; "registry" => self.follower.name(),
--- a/crates/steer/src/flows/greet_fleet.rs
+++ b/crates/steer/src/flows/greet_fleet.rs
@@ -11,6 +11,8 @@
 
 /// Time between two greetings of a peer.
 const PERIOD: Duration = Duration::from_millis(700);
+/// Time between two greetings of a peer in another region; they also tell who lives there.
+const REMOTE_PERIOD: Duration = Duration::from_millis(2_100);
 /// Longest wait for a reply: a round trip between regions, and a pause of the peer.
 const REPLY_WAIT: Duration = Duration::from_millis(800);
 
@@ -50,7 +52,7 @@
 ) {
     let mut heard = false;
     loop {
-        let hello = router.fleet().hello();
+        let hello = router.fleet().hello_at(peer);
         let reply = timeout(REPLY_WAIT, greeter.greet(peer, &hello)).await;
         let answers = note_reply(&router, peer, reply.ok());
         if answers != heard {
@@ -58,8 +60,9 @@
             let text = if heard { "fleet: VM answers" } else { "fleet: VM lost" };
             info!(router.log(), "{text}"; "peer" => %peer);
         }
+        let remote = router.fleet().is_remote(peer);
         tokio::select! {
-            () = sleep(PERIOD) => {}
+            () = sleep(if remote { REMOTE_PERIOD } else { PERIOD }) => {}
             Ok(()) = state.changed() => {}
         }
     }
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -1,5 +1,6 @@
 //! The flows: one straight async function for each life.
 
+mod ask_delegates;
 mod ask_lease;
 mod attempt;
 mod backoff;
@@ -27,6 +28,7 @@
 mod watch_vms;
 
 pub use self::{
+    ask_delegates::ask_delegates,
     attempt::{Answered, Attempt, AttemptError, Cleared, Sent, Unsent},
     backoff::Backoff,
     call::{Call, Origin},
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -33,6 +33,7 @@
 mod poison;
 mod pool;
 mod ports;
+mod relay;
 mod retry;
 mod routes;
 mod routing;
@@ -43,5 +44,5 @@
 pub use self::{
     admission::*, choice::*, errors::*, explain::*, fleet::*, flows::*, forwarding::*, lease::*,
     link::*, lookup::*, membership::*, names::*, node::*, once::*, placement::*, poison::*,
-    pool::*, ports::*, retry::*, routes::*, routing::*, settings::*, shares::*, shift::*,
+    pool::*, ports::*, relay::*, retry::*, routes::*, routing::*, settings::*, shares::*, shift::*,
 };
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod guarded_platform;
 mod meter;
+mod news;
 mod peers;
 mod platform;
 mod platform_error;
@@ -19,6 +20,7 @@
     clock::{Clock, SystemClock},
     guarded_platform::GuardedPlatform,
     meter::{Meter, NoMeter},
+    news::{KindNews, NewsPeers, NewsQuery, NewsReply, ObjectSource, RawNews, RawObject},
     peers::{
         Cursor, Exchange, Heartbeat, MemberNews, PeerError, PeerMessage, PeerReply, Peers,
         PoolRoom, RoomNews, SettingsBatch, SettingsDocument, SettingsQuery,
--- a/crates/steer/src/ports/registry.rs
+++ b/crates/steer/src/ports/registry.rs
@@ -31,6 +31,8 @@
 pub struct Changes<T> {
     /// The changes, oldest first.
     pub changes: Vec<Change<T>>,
+    /// A peer passed them on; the store was not asked.
+    pub relayed: bool,
     /// Revision of the store.
     pub revision: u64,
 }
--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use slog::{Discard, Logger, o};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     future::pending,
     sync::{Arc, Mutex},
     time::Duration,
@@ -39,6 +39,7 @@
 fn vm(name: &str) -> VmRecord {
     VmRecord {
         callers: "10.0.0.1:80".parse().unwrap(),
+        capacity: 200,
         incarnation: 1,
         name: name.into(),
         peers: "10.0.0.1:81".parse().unwrap(),
@@ -97,7 +98,7 @@
     async fn watch(&self, _: u64, _: Duration) -> Result<Changes<TargetRecord>, RegistryError> {
         let answer = self.0.lock().unwrap().pop_front();
         match answer {
-            Some(Answer::Changes(changes)) => Ok(Changes { changes, revision: 8 }),
+            Some(Answer::Changes(changes)) => Ok(Changes { changes, relayed: false, revision: 8 }),
             Some(Answer::Expired) => Err(RegistryError::Expired),
             Some(Answer::Fail) => Err(RegistryError::unavailable("down")),
             Some(Answer::List(_)) => panic!("the script expects a list, not a watch"),
@@ -125,7 +126,12 @@
     for ms in at {
         while start.elapsed() < Duration::from_millis(*ms) {
             for name in ["entry-2", "entry-3"] {
-                let hello = VmHello { leaving: false, store_lost: others_lost, vm: vm(name) };
+                let hello = VmHello {
+                    leaving: false,
+                    live: BTreeSet::new(),
+                    store_lost: others_lost,
+                    vm: vm(name),
+                };
                 router.fleet().note_hello(hello);
             }
             sleep(Duration::from_millis(50)).await;
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -89,6 +89,7 @@
             rules: BoardRules::default(),
             vm: VmRecord {
                 callers: address,
+                capacity: 200,
                 incarnation: 1,
                 name: "entry-1".into(),
                 peers: address,
