Test the relay of news and the greetings of a large fleet

A log of news is held against a plain map over random histories; a VM's calls to the store are counted while delegates are silent, return, or lose the store. The routers of three test files come from one support file.

--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod routers;
+
 use async_trait::async_trait;
+use routers::{NoTargets, router_of, vm};
 use slog::{Discard, Logger, o};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -11,52 +14,14 @@
     time::Duration,
 };
 use steer::{
-    BoardRules, Body, Change, Changes, EvacuationFollower, FollowPace, Follower, Listing,
-    LoadError, LoadReport, NoMeter, Registry, RegistryError, Router, RouterParts, RouterPorts,
-    SendError, StoreReturns, TargetFollower, TargetRecord, Targets, Vm, VmHello, VmRecord,
-    follow_registry,
+    Change, Changes, EvacuationFollower, FollowPace, Follower, Listing, Registry, RegistryError,
+    Router, StoreReturns, TargetFollower, TargetRecord, VmHello, follow_registry,
 };
 use tokio::time::{Instant, sleep};
 
-#[derive(Debug)]
-struct NoTargets;
-
-#[async_trait]
-impl Targets for NoTargets {
-    async fn send(
-        &self,
-        _target: std::net::SocketAddr,
-        _request: http::Request<Body>,
-    ) -> Result<http::Response<Body>, SendError> {
-        Err(SendError::sent("no targets here"))
-    }
-
-    async fn read_load(&self, _target: std::net::SocketAddr) -> Result<LoadReport, LoadError> {
-        Ok(LoadReport::default())
-    }
-}
-
-fn vm(name: &str) -> VmRecord {
-    VmRecord {
-        callers: "10.0.0.1:80".parse().unwrap(),
-        capacity: 200,
-        incarnation: 1,
-        name: name.into(),
-        peers: "10.0.0.1:81".parse().unwrap(),
-        region: "lisboa".into(),
-        zone: "lis-a".into(),
-    }
-}
-
 fn router() -> Arc<Router> {
-    let parts = RouterParts {
-        log: Logger::root(Discard, o!()),
-        ports: RouterPorts { meter: Arc::new(NoMeter), targets: Arc::new(NoTargets) },
-        rules: BoardRules::default(),
-        vm: vm("entry-1"),
-        zones: BTreeMap::from([("lis-a".into(), "lisboa".into())]),
-    };
-    Arc::new(Router::new(parts, Vm::join().1))
+    let vm = vm("entry-1", 1, "lis-a", "lisboa");
+    Arc::new(router_of(vm, Arc::new(NoTargets)))
 }
 
 fn target(name: &str) -> TargetRecord {
@@ -130,7 +95,7 @@
                     leaving: false,
                     live: BTreeSet::new(),
                     store_lost: others_lost,
-                    vm: vm(name),
+                    vm: vm(name, 2, "lis-a", "lisboa"),
                 };
                 router.fleet().note_hello(hello);
             }
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -2,20 +2,22 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod routers;
+
 use async_trait::async_trait;
 use http::{Request, Response, StatusCode};
-use slog::{Discard, Logger, o};
+use routers::{router_of, vm};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::VecDeque,
     fmt::Write,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
 use steer::{
-    BoardRules, Body, CallerRequest, LoadError, LoadReport, NoMeter, RepeatRule, Route, RouteTable,
-    Router, RouterParts, RouterPorts, SendError, TargetIdentity, TargetRecord, TargetReport,
-    Targets, Verdict, Vm, VmRecord, empty_body, forward_request, full_body,
+    Body, CallerRequest, LoadError, LoadReport, RepeatRule, Route, RouteTable, Router, SendError,
+    TargetIdentity, TargetRecord, TargetReport, Targets, Verdict, empty_body, forward_request,
+    full_body,
 };
 use tokio::time::sleep;
 
@@ -82,23 +84,8 @@
     fn new(acts: &[Act]) -> Self {
         let targets = Arc::new(FakeTargets::default());
         targets.acts.lock().unwrap().extend(acts);
-        let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
-        let parts = RouterParts {
-            log: Logger::root(Discard, o!()),
-            ports: RouterPorts { meter: Arc::new(NoMeter), targets: targets.clone() },
-            rules: BoardRules::default(),
-            vm: VmRecord {
-                callers: address,
-                capacity: 200,
-                incarnation: 1,
-                name: "entry-1".into(),
-                peers: address,
-                region: "lisboa".into(),
-                zone: "lis-a".into(),
-            },
-            zones: BTreeMap::from([("lis-a".into(), "lisboa".into())]),
-        };
-        let router = Router::new(parts, Vm::join().1);
+        let vm = vm("entry-1", 1, "lis-a", "lisboa");
+        let router = router_of(vm, Arc::clone(&targets) as _);
         Self { router, targets }
     }
 
--- /dev/null
+++ b/crates/steer/tests/relay.rs
@@ -0,0 +1,316 @@
+//! How a VM hears of the store: itself, or from the delegates of its region.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod routers;
+
+use async_trait::async_trait;
+use quickcheck::{Arbitrary, Gen};
+use routers::{NoTargets, router_of, vm};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::{
+    KindNews, NewsBoard, NewsLog, NewsPeers, NewsQuery, NewsReply, ObjectSource, PeerError,
+    RawNews, RawObject, RegistryError, RelayPace, RelayedSource, Router, VmHello, ask_delegates,
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+
+const KIND: &str = "targets";
+const PACE: RelayPace =
+    RelayPace { fresh: Duration::from_millis(1_900), wait: Duration::from_secs(1) };
+const RUNS: u64 = 300;
+
+fn put(name: &str, text: &str) -> RawObject {
+    RawObject { deleted: false, name: name.into(), text: text.into() }
+}
+
+/// A store that holds one object, whose text is its revision.
+#[derive(Debug)]
+struct Store {
+    calls: Mutex<u32>,
+    down: watch::Sender<bool>,
+    revision: watch::Sender<u64>,
+}
+
+impl Store {
+    fn new() -> Arc<Self> {
+        let (down, revision) = (watch::Sender::new(false), watch::Sender::new(5));
+        Arc::new(Self { calls: Mutex::default(), down, revision })
+    }
+
+    fn news(&self) -> RawNews {
+        let revision = *self.revision.borrow();
+        RawNews::new(vec![put("a", &revision.to_string())], revision)
+    }
+}
+
+#[async_trait]
+impl ObjectSource for Store {
+    async fn list(&self, _kind: &'static str) -> Result<RawNews, RegistryError> {
+        *self.calls.lock().unwrap() += 1;
+        if *self.down.borrow() {
+            return Err(RegistryError::unavailable("down"));
+        }
+        Ok(self.news())
+    }
+
+    async fn watch(
+        &self,
+        kind: &'static str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<RawNews, RegistryError> {
+        let mut changed = self.revision.subscribe();
+        let news = timeout(wait, changed.wait_for(|at| *at > revision)).await.is_ok();
+        let all = self.list(kind).await?;
+        Ok(if news { all } else { RawNews::new(Vec::new(), revision) })
+    }
+}
+
+/// A delegate with a board of its own; silent on demand.
+#[derive(Debug)]
+struct Delegate {
+    board: Arc<NewsBoard>,
+    silent: watch::Sender<bool>,
+}
+
+#[async_trait]
+impl NewsPeers for Delegate {
+    async fn ask_news(&self, _peer: SocketAddr, query: &NewsQuery) -> Result<NewsReply, PeerError> {
+        if *self.silent.borrow() {
+            sleep(Duration::from_secs(60)).await;
+        }
+        sleep(Duration::from_millis(5)).await;
+        Ok(self.board.answer(query).await)
+    }
+}
+
+fn greet(router: &Router, count: u8) {
+    for number in 2..=count {
+        let mut vm = vm(&format!("entry-{number}"), number, "lis-a", "lisboa");
+        vm.capacity = 500;
+        let (leaving, live) = (false, BTreeSet::new());
+        router.fleet().note_hello(VmHello { leaving, live, store_lost: false, vm });
+    }
+}
+
+struct World {
+    delegate: Arc<Delegate>,
+    router: Arc<Router>,
+    store: Arc<Store>,
+}
+
+impl World {
+    /// A VM in a region of so many, and a delegate that reads the store for it.
+    fn start(count: u8) -> Self {
+        let own = vm("entry-1", 1, "lis-a", "lisboa");
+        let router = Arc::new(router_of(own, Arc::new(NoTargets)));
+        let store = Store::new();
+        let board = NewsBoard::new();
+        let delegate = Arc::new(Delegate { board, silent: watch::Sender::new(false) });
+        let (reader, board) = (Arc::clone(&store), Arc::clone(&delegate.board));
+        tokio::spawn(async move {
+            let mut revision = 5;
+            board.replace(KIND, reader.news(), PACE.fresh, Instant::now());
+            loop {
+                // The delegate's own calls aren't those of the VM under test.
+                if let Ok(news) = reader.watch(KIND, revision, PACE.wait).await {
+                    let since = std::mem::replace(&mut revision, news.revision);
+                    board.extend(KIND, since, news, Instant::now());
+                }
+                *reader.calls.lock().unwrap() -= 1;
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+        let greeted = Arc::clone(&router);
+        tokio::spawn(async move {
+            loop {
+                greet(&greeted, count);
+                sleep(Duration::from_millis(700)).await;
+            }
+        });
+        Self { delegate, router, store }
+    }
+
+    /// Follows for some time; tells the calls to the store and when each revision was known.
+    async fn follow(&self, spoil: impl Future<Output = ()>) -> String {
+        let board = NewsBoard::new();
+        let store = Arc::clone(&self.store) as Arc<dyn ObjectSource>;
+        let (router, peers) = (Arc::clone(&self.router), Arc::clone(&self.delegate) as _);
+        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&board), PACE, store);
+        tokio::spawn(ask_delegates(router, board, peers));
+        let start = Instant::now();
+        let mut seen = String::new();
+        let follow = async {
+            let mut revision = source.list(KIND).await.unwrap().revision;
+            loop {
+                match source.watch(KIND, revision, Duration::from_millis(1_200)).await {
+                    Ok(news) if news.revision > revision => {
+                        revision = news.revision;
+                        let ms = start.elapsed().as_millis();
+                        let from = if news.relayed { "a delegate" } else { "the store" };
+                        write!(seen, ", revision {revision} from {from} at {ms} ms").unwrap();
+                    }
+                    Ok(_) => {}
+                    Err(_) => sleep(Duration::from_millis(400)).await,
+                }
+            }
+        };
+        let whole = async { tokio::join!(follow, spoil) };
+        assert!(timeout(Duration::from_secs(10), whole).await.is_err());
+        let calls = *self.store.calls.lock().unwrap();
+        format!("{calls} calls{seen}")
+    }
+}
+
+async fn change_at(world: &World, ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+    world.store.revision.send_modify(|revision| *revision += 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_vm_of_a_large_region_leaves_the_store_to_the_delegates() {
+    let mut table = String::new();
+    for count in [1, 4, 5, 28] {
+        let world = World::start(count);
+        let seen = world.follow(change_at(&world, 5_050)).await;
+        writeln!(table, "{count} VMs: {seen}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_known_within_three_seconds_while_delegates_fail() {
+    let mut table = String::new();
+    let world = World::start(28);
+    let seen = world
+        .follow(async {
+            sleep(Duration::from_millis(5_000)).await;
+            world.delegate.silent.send_replace(true);
+            change_at(&world, 50).await;
+        })
+        .await;
+    writeln!(table, "delegates silent: {seen}").unwrap();
+    let world = World::start(28);
+    let seen = world
+        .follow(async {
+            sleep(Duration::from_millis(3_000)).await;
+            world.delegate.silent.send_replace(true);
+            sleep(Duration::from_millis(3_000)).await;
+            world.delegate.silent.send_replace(false);
+            change_at(&world, 3_000).await;
+        })
+        .await;
+    writeln!(table, "delegates back: {seen}").unwrap();
+    let world = World::start(28);
+    let seen = world
+        .follow(async {
+            sleep(Duration::from_millis(2_000)).await;
+            world.store.down.send_replace(true);
+            change_at(&world, 2_000).await;
+            sleep(Duration::from_millis(2_000)).await;
+            world.store.down.send_replace(false);
+        })
+        .await;
+    writeln!(table, "store down from 2 to 6 s: {seen}").unwrap();
+    insta::assert_snapshot!(table);
+}
+
+/// What a store does to one object.
+#[derive(Clone, Debug)]
+struct Step {
+    deleted: bool,
+    name: u8,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self { deleted: bool::arbitrary(g), name: u8::arbitrary(g) % 6 }
+    }
+}
+
+fn apply(objects: &mut BTreeMap<Arc<str>, Arc<str>>, news: &RawNews) {
+    for object in &news.objects {
+        if object.deleted {
+            objects.remove(&object.name);
+        } else {
+            objects.insert(Arc::clone(&object.name), Arc::clone(&object.text));
+        }
+    }
+}
+
+/// Plays a history through a log to a peer that asks now and then, against a plain map.
+fn plays_true(steps: &[Step], batches: &[u8], asks: &[bool]) {
+    let now = Instant::now();
+    let mut log = NewsLog::new(RawNews::new(vec![put("0", "first")], 1), PACE.fresh, now);
+    let (mut truth, mut peer) = (BTreeMap::new(), BTreeMap::new());
+    apply(&mut truth, &log.all());
+    let (mut revision, mut peer_revision, mut steps) = (1, 0, steps.iter());
+    for (batch, ask) in batches.iter().zip(asks.iter().cycle()) {
+        let since = revision;
+        let step = |step: &Step| {
+            revision += 1;
+            let text = revision.to_string();
+            RawObject { deleted: step.deleted, ..put(&step.name.to_string(), &text) }
+        };
+        let objects = steps.by_ref().take(usize::from(batch % 4)).map(step).collect();
+        let news = RawNews::new(objects, revision);
+        apply(&mut truth, &news);
+        log.extend(since, news, now);
+        if !ask {
+            continue;
+        }
+        let KindNews { full, news, .. } = log.news_for(peer_revision, now);
+        if full {
+            peer.clear();
+        }
+        apply(&mut peer, &news);
+        peer_revision = news.revision;
+        assert_eq!(peer, truth, "at revision {revision}");
+        assert_eq!(log.all().objects.len(), truth.len());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_asks_now_and_then_holds_what_the_store_holds() {
+    for seed in 0..RUNS {
+        let mut g = Gen::from_size_and_seed(60, seed);
+        let (steps, batches) = (Vec::arbitrary(&mut g), Vec::arbitrary(&mut g));
+        let mut asks = Vec::<bool>::arbitrary(&mut g);
+        asks.push(true);
+        plays_true(&steps, &batches, &asks);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_behind_the_remembered_changes_gets_all_objects() {
+    let now = Instant::now();
+    let mut log = NewsLog::new(RawNews::new(Vec::new(), 1), PACE.fresh, now);
+    let most = NewsLog::MOST_CHANGES as u64;
+    for revision in 2..most + 10 {
+        let text = revision.to_string();
+        log.extend(revision - 1, RawNews::new(vec![put("a", &text)], revision), now);
+    }
+    let old = log.news_for(3, now);
+    let new = log.news_for(most, now);
+    assert!(old.full && old.news.objects.len() == 1);
+    assert!(!new.full && new.news.objects.len() == 9);
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_after_a_gap_are_not_taken() {
+    let now = Instant::now();
+    let mut log = NewsLog::new(RawNews::new(vec![put("a", "4")], 4), PACE.fresh, now);
+    assert!(!log.extend(6, RawNews::new(vec![put("a", "7")], 7), now));
+    assert!(!log.extend(2, RawNews::new(vec![put("a", "3")], 3), now));
+    assert_eq!(log.revision(), 4);
+    assert_eq!(&*log.all().objects[0].text, "4");
+}
--- /dev/null
+++ b/crates/steer/tests/routers/mod.rs
@@ -0,0 +1,55 @@
+//! Routers and records of entry VMs for tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use async_trait::async_trait;
+use slog::{Discard, Logger, o};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use steer::{
+    BoardRules, Body, LoadError, LoadReport, NoMeter, Router, RouterParts, RouterPorts, SendError,
+    Targets, Vm, VmRecord,
+};
+
+/// Targets that nothing is sent to.
+#[derive(Debug)]
+pub(crate) struct NoTargets;
+
+#[async_trait]
+impl Targets for NoTargets {
+    async fn send(
+        &self,
+        _target: SocketAddr,
+        _request: http::Request<Body>,
+    ) -> Result<http::Response<Body>, SendError> {
+        Err(SendError::sent("no targets here"))
+    }
+
+    async fn read_load(&self, _target: SocketAddr) -> Result<LoadReport, LoadError> {
+        Ok(LoadReport::default())
+    }
+}
+
+/// An entry VM of a zone; the number is part of its addresses.
+pub(crate) fn vm(name: &str, number: u8, zone: &str, region: &str) -> VmRecord {
+    VmRecord {
+        callers: SocketAddr::from(([10, 0, 0, number], 80)),
+        capacity: 200,
+        incarnation: 1,
+        name: name.into(),
+        peers: SocketAddr::from(([10, 0, 0, number], 81)),
+        region: region.into(),
+        zone: zone.into(),
+    }
+}
+
+/// A router of a VM that sends to some targets.
+pub(crate) fn router_of(vm: VmRecord, targets: Arc<dyn Targets>) -> Router {
+    let parts = RouterParts {
+        log: Logger::root(Discard, o!()),
+        ports: RouterPorts { meter: Arc::new(NoMeter), targets },
+        rules: BoardRules::default(),
+        zones: BTreeMap::from([(vm.zone.clone(), vm.region.clone())]),
+        vm,
+    };
+    Router::new(parts, Vm::join().1)
+}
