Serve counters and histograms on a metrics address

The users ask for both as text on the address in the settings. Cadence writes into a sink that sums up in the process; levels are read as they are asked for. Counted are the ends of requests, tries, retries, calls to the store, relayed news that failed, and dropped log lines.

--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -6,7 +6,7 @@
 };
 use adapters::{
     ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, RpcPeers,
-    open_log, serve_fleet,
+    TextMeter, answer_metrics, open_log, serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
@@ -24,7 +24,7 @@
     time::{Duration, SystemTime},
 };
 use steer::{
-    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, NewsBoard, NoMeter, Registry,
+    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, Meter, NewsBoard, Registry,
     RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm,
     VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
 };
@@ -119,10 +119,11 @@
     let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_millis();
     let (vm, state) = Vm::join();
     let pool = ConnectionPool::new();
+    let meter = Arc::new(TextMeter::new());
     let parts = RouterParts {
         log: log.clone(),
         ports: RouterPorts {
-            meter: Arc::new(NoMeter),
+            meter: Arc::clone(&meter) as _,
             targets: Arc::new(PlatformTargets::new(HttpTargets::new(Arc::clone(&pool)))),
         },
         rules: settings.rules(),
@@ -134,6 +135,7 @@
 
     let control = ListenerControl::new();
     listen(&settings, &router, &control).await?;
+    serve_metrics(&settings, &router, meter, control.clone()).await?;
     let board = NewsBoard::new();
     let _fleet = serve_fleet(Arc::clone(&router), Arc::clone(&board), settings.peers).await?;
     info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
@@ -195,6 +197,27 @@
     Ok(())
 }
 
+/// Serves the metrics; levels are read as they are asked for.
+async fn serve_metrics(
+    settings: &RouterSettings,
+    router: &Arc<Router>,
+    meter: Arc<TextMeter>,
+    control: ListenerControl,
+) -> io::Result<()> {
+    let listener = Listener::bind(settings.metrics, ListenerLimits::default()).await?;
+    let router = Arc::clone(router);
+    tokio::spawn(listener.serve(move |request, _| {
+        let version = router.routes().map_or(0, |table| table.version);
+        meter.gauge("callers.connections", control.connections() as u64);
+        meter.gauge("fleet.known", router.fleet().known().len() as u64);
+        meter.gauge("settings.version", version);
+        meter.gauge("targets.known", router.board().names().len() as u64);
+        let answer = answer_metrics(&meter, &request);
+        async move { answer }
+    }));
+    Ok(())
+}
+
 /// Follows the registries of the store, one task each.
 fn follow_store(router: &Arc<Router>, board: &Arc<NewsBoard>, client: &StoreClient) {
     let returns = StoreReturns::new();
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -28,6 +28,8 @@
     pub(crate) log_level: Option<String>,
     /// Part of a region's requests that may change the region in which they run within two seconds.
     pub(crate) max_shift: f64,
+    /// Address of the metrics.
+    pub(crate) metrics: SocketAddr,
     /// Name of this VM.
     pub(crate) name: VmName,
     /// Address for other VMs.
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -53,6 +53,7 @@
     callers: SocketAddr,
     directory: SocketAddr,
     file: PathBuf,
+    metrics: SocketAddr,
     pool: Arc<ConnectionPool>,
     process: Child,
     ready: SocketAddr,
@@ -84,11 +85,11 @@
     async fn start(test: &str) -> Self {
         let store = ObjectStore::default();
         let (store_address, _) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
-        let [callers, directory, peers, ready] = [(); 4].map(|()| free_address());
+        let [callers, directory, metrics, peers, ready] = [(); 5].map(|()| free_address());
         let settings = json!({
             "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
             "cpu_share": 0.2, "directory": directory,
-            "grace_s": 6, "max_shift": 0.15, "name": "entry-1", "peers": peers, "ready": ready,
+            "grace_s": 6, "max_shift": 0.15, "metrics": metrics, "name": "entry-1", "peers": peers, "ready": ready,
             "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
             "zones": { "lis-a": "lisboa" },
         });
@@ -101,7 +102,7 @@
             .spawn()
             .unwrap();
         let pool = ConnectionPool::new();
-        let world = Self { callers, directory, file, pool, process, ready, store };
+        let world = Self { callers, directory, file, metrics, pool, process, ready, store };
         world.expect(world.ready, "/-/ready", "503 ").await;
         world
     }
@@ -147,6 +148,11 @@
     world.store.put("config", "main", configuration("00000003", "briefs"), Value::Null);
     world.expect(world.callers, "/x", "200 i-1").await;
     world.expect(world.ready, "/-/ready", "200 ").await;
+    world.expect(world.metrics, "/metrics", "200 ragwortswitch_callers_connections ").await;
+    let metrics = world.ask(world.metrics, "/metrics").await;
+    for line in ["ragwortswitch_settings_version 3\n", "ragwortswitch_targets_known 2\n"] {
+        assert!(metrics.contains(line), "{line}: {metrics}");
+    }
     let directory =
         world.ask(world.directory, "/-/resolve?name=a.example&region=lisboa&zone=lis-a");
     let directory = directory.await;
--- a/crates/steer/src/flows/ask_delegates.rs
+++ b/crates/steer/src/flows/ask_delegates.rs
@@ -30,6 +30,7 @@
         match judge(answer, &query) {
             Ok(reply) => board.hear(&query, reply),
             Err(reason) => {
+                router.ports().meter.count("relay.failed", 1);
                 info!(router.log(), "relay: no news from a delegate"; "peer" => %delegate,
                     "reason" => reason);
                 failed.insert(delegate, Instant::now());
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -53,6 +53,7 @@
         version: table.version,
     };
     let end = forward.run(request).await;
+    forward.count_end(&end);
     forward.log_end(&end);
     end
 }
@@ -183,7 +184,13 @@
     }
 
     fn may_retry(&self) -> bool {
-        Instant::now() < self.until && self.router.take_retry(self.service)
+        if Instant::now() >= self.until {
+            return false;
+        }
+        let taken = self.router.take_retry(self.service);
+        let name = if taken { "retry.sent" } else { "retry.denied" };
+        self.router.ports().meter.count(name, 1);
+        taken
     }
 
     fn refuse_room(&self, reason: NoSeat) -> Refusal {
@@ -250,6 +257,7 @@
     }
 
     fn log_try(&self, seat: &Seat, reason: &impl std::fmt::Display) {
+        self.router.ports().meter.count("attempts.failed", 1);
         let Some(dropped) = self.router.take_line() else { return };
         info!(self.router.log(), "request: try failed";
             "id" => &*self.caller.id, "route" => %self.route.name, "target" => %seat.target().name,
@@ -257,6 +265,17 @@
             "after_ms" => self.elapsed_ms(), "reason" => %reason, "dropped" => dropped);
     }
 
+    fn count_end(&self, end: &Result<Response<Body>, Refusal>) {
+        let meter = &self.router.ports().meter;
+        let name = match end {
+            Ok(response) if response.status().is_server_error() => "requests.failed".to_owned(),
+            Ok(_) => "requests.served".to_owned(),
+            Err(refusal) => format!("requests.refused.{}", refusal.kind.slug()),
+        };
+        meter.count(&name, 1);
+        meter.time("requests.time", self.arrived.elapsed());
+    }
+
     /// Logs each request without a good answer, and some of the others.
     fn log_end(&self, end: &Result<Response<Body>, Refusal>) {
         match end {
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -64,7 +64,12 @@
     /// Takes a log line about a request, and gives the number of lines dropped before it; `None`
     /// where there are too many.
     pub fn take_line(&self) -> Option<u64> {
-        self.lines.lock().expect("no holder of the lines' lock panics").take(Instant::now())
+        let mut lines = self.lines.lock().expect("no holder of the lines' lock panics");
+        let line = lines.take(Instant::now());
+        if line.is_none() {
+            self.ports.meter.count("log.dropped", 1);
+        }
+        line
     }
 
     /// The ports.
--- a/crates/steer/src/relay/relayed_source.rs
+++ b/crates/steer/src/relay/relayed_source.rs
@@ -40,6 +40,16 @@
         Self { board, pace, router, store }
     }
 
+    /// Counts an answer of the store.
+    fn count(&self, answer: Result<RawNews, RegistryError>) -> Result<RawNews, RegistryError> {
+        let meter = &self.router.ports().meter;
+        meter.count("store.calls", 1);
+        if answer.is_err() {
+            meter.count("store.failed", 1);
+        }
+        answer
+    }
+
     async fn watch_store(
         &self,
         kind: &'static str,
@@ -48,7 +58,7 @@
     ) -> Result<RawNews, RegistryError> {
         let passes_on = self.router.fleet().has_delegates();
         let wait = if passes_on { wait.min(self.pace.wait) } else { wait };
-        let news = self.store.watch(kind, revision, wait).await?;
+        let news = self.count(self.store.watch(kind, revision, wait).await)?;
         self.board.extend(kind, revision, news.clone(), Instant::now());
         Ok(news)
     }
@@ -62,7 +72,7 @@
         {
             return Ok(all);
         }
-        let all = self.store.list(kind).await?;
+        let all = self.count(self.store.list(kind).await)?;
         self.board.replace(kind, all.clone(), self.pace.fresh, Instant::now());
         Ok(all)
     }
