Hold bodies to their limits, both ways, and log early refusals

Cause: a caller that broke off its upload made its target look lost, which paused it for reads as well; a chunked body passed the size limit; an answer that stalled after its head was held past the route's timeout; a request without a route left no line. Change: request bodies are bounded by size and deadline, and one that fails is no fault of its target; answers end with the deadline or the timeout; early refusals are logged and counted. ServiceRules loses the connection bound that nothing read. Tests fail before: an_answer_that_stalls_is_cut_at_its_time, a_body_that_fails_is_no_fault_of_its_target.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -2,10 +2,12 @@
 
 use super::{Attempt, AttemptError, Refusal};
 use crate::{
-    Body, CallerRequest, ErrorKind, NoSeat, ObjectHash, PlaceQuery, RepeatRule, Replay, Route,
-    Router, Seat, SendPass, ServiceName, TargetIdentity, TargetReport, Verdict, hold_until_end,
+    Body, BodyFault, BodyLimits, CallerRequest, ErrorKind, NoSeat, ObjectHash, PlaceQuery,
+    RepeatRule, Replay, Route, Router, Seat, SendPass, ServiceName, TargetIdentity, TargetReport,
+    Verdict, bound_body, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
+use http_body::Body as _;
 use slog::info;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,30 +36,49 @@
     request: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
     let arrived = Instant::now();
-    let table = router.routes().ok_or(ErrorKind::NoSettings)?;
-    let route = table.find(&caller.host, &caller.path).ok_or(ErrorKind::NoService)?;
+    let table =
+        router.routes().ok_or_else(|| refuse_early(router, caller, ErrorKind::NoSettings))?;
+    let route = table
+        .find(&caller.host, &caller.path)
+        .ok_or_else(|| refuse_early(router, caller, ErrorKind::NoService))?;
     let length = request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     if length.zip(table.max_body).is_some_and(|(length, most): (u64, u64)| length > most) {
-        return Err(ErrorKind::BodyTooLarge.into());
+        return Err(refuse_early(router, caller, ErrorKind::BodyTooLarge));
     }
     let service = route.split.choose();
     let wait = caller.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let until = arrived + wait;
+    let fault = BodyFault::default();
+    let limits = BodyLimits::until(until).bytes(table.max_body.unwrap_or(u64::MAX));
+    let request = request.map(|body| limit_body(body, limits, &fault));
     router.note_request(service);
-    let forward = Forward {
-        arrived,
-        caller,
-        route,
-        router,
-        service,
-        until: arrived + wait,
-        version: table.version,
-    };
+    let forward =
+        Forward { arrived, caller, fault, route, router, service, until, version: table.version };
     let end = forward.run(request).await;
     forward.count_end(&end);
     forward.log_end(&end);
     end
 }
 
+/// Refuses a request that belongs to no route, and logs it.
+fn refuse_early(router: &Router, caller: &CallerRequest, kind: ErrorKind) -> Refusal {
+    router.ports().meter.count(&format!("requests.refused.{}", kind.slug()), 1);
+    if let Some(dropped) = router.take_line() {
+        let version = router.routes().map(|table| table.version);
+        info!(router.log(), "request: refused early"; "id" => &*caller.id, "host" => &*caller.host,
+            "path" => &*caller.path, "version" => version, "kind" => kind.slug(),
+            "outcome" => %kind.answer().outcome, "dropped" => dropped);
+    }
+    kind.into()
+}
+
+fn limit_body(body: Body, limits: BodyLimits, fault: &BodyFault) -> Body {
+    if body.is_end_stream() {
+        return body;
+    }
+    bound_body(body, limits, fault.clone())
+}
+
 /// Whether a served request is logged: one in 64, the same ones at every VM.
 fn is_sampled(id: &str) -> bool {
     xxh3_64(id.as_bytes()).is_multiple_of(64)
@@ -67,6 +88,8 @@
 struct Forward<'a> {
     arrived: Instant,
     caller: &'a CallerRequest,
+    /// The request's body broke off or passed a limit.
+    fault: BodyFault,
     route: &'a Route,
     router: &'a Router,
     service: &'a ServiceName,
@@ -147,7 +170,7 @@
             query.excluded.insert(seat.target().name.clone());
             let refusal = match self.try_target(&seat, request).await {
                 Tried::Answered(response) => {
-                    return Ok(response.map(|body| hold_until_end(body, seat)));
+                    return Ok(self.finish(response, seat));
                 }
                 Tried::Failed(response) => {
                     sent += 1;
@@ -156,7 +179,7 @@
                         && !supply.is_empty()
                         && self.may_retry();
                     if !again {
-                        return Ok(response.map(|body| hold_until_end(body, seat)));
+                        return Ok(self.finish(response, seat));
                     }
                     continue;
                 }
@@ -183,6 +206,12 @@
         Err(last.unwrap_or_else(|| ErrorKind::NoRoom.into()))
     }
 
+    /// Passes an answer on for as long as the request may take.
+    fn finish(&self, response: Response<Body>, seat: Seat) -> Response<Body> {
+        let limits = BodyLimits::until(self.until);
+        response.map(|body| hold_until_end(limit_body(body, limits, &BodyFault::default()), seat))
+    }
+
     fn may_retry(&self) -> bool {
         if Instant::now() >= self.until {
             return false;
@@ -223,6 +252,12 @@
                 let refusal = Refusal::new(ErrorKind::NoRoom, reason).retry_after(ROOM_WAIT);
                 Tried::Unreached(attempt.into_request(), refusal)
             }
+            Err(AttemptError::Sent(sent, _)) if self.fault.is_set() => {
+                let in_time = Instant::now() < self.until;
+                let kind = if in_time { ErrorKind::BodyCut } else { ErrorKind::DeadlinePassed };
+                self.log_try(seat, &kind);
+                Tried::Lost(sent.refuse_unknown(kind))
+            }
             Err(AttemptError::Sent(sent, kind)) => {
                 if kind != ErrorKind::DeadlinePassed {
                     seat.note_lost();
--- a/crates/steer/src/routes/service_rules.rs
+++ b/crates/steer/src/routes/service_rules.rs
@@ -5,7 +5,7 @@
 /// What the operators say of a service's targets.
 ///
 /// ```
-/// assert_eq!(steer::ServiceRules::default().connections, u32::MAX);
+/// assert_eq!(steer::ServiceRules::default().cold_rate, f64::INFINITY);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceRules {
@@ -13,12 +13,10 @@
     pub cold_rate: f64,
     /// Time for which a target is cold after its start.
     pub cold_time: Duration,
-    /// Most connections that a target accepts from all VMs together.
-    pub connections: u32,
 }
 
 impl Default for ServiceRules {
     fn default() -> Self {
-        Self { cold_rate: f64::INFINITY, cold_time: Duration::ZERO, connections: u32::MAX }
+        Self { cold_rate: f64::INFINITY, cold_time: Duration::ZERO }
     }
 }
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -5,7 +5,11 @@
 mod routers;
 
 use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::stream::{StreamExt, iter, pending};
 use http::{Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use routers::{router_of, vm};
 use std::{
     collections::VecDeque,
@@ -15,19 +19,25 @@
     time::Duration,
 };
 use steer::{
-    Body, CallerRequest, LoadError, LoadReport, RepeatRule, Route, RouteTable, Router, SendError,
-    TargetIdentity, TargetRecord, TargetReport, Targets, Verdict, empty_body, forward_request,
-    full_body,
+    Body, BodyError, CallerRequest, LoadError, LoadReport, RepeatRule, Route, RouteTable, Router,
+    SendError, TargetIdentity, TargetRecord, TargetReport, Targets, Verdict, empty_body,
+    forward_request, full_body,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+
+const DAY: Duration = Duration::from_secs(86_400);
 
 /// What a target does with a request.
 #[derive(Clone, Copy, Debug)]
 enum Act {
     Answer(u16),
+    /// The head of the answer comes at once, the rest never.
+    AnswerHalf,
     Break,
     Hang,
     Misdirect,
+    /// Reads the whole request, then answers.
+    Read,
     Refuse,
     Unreachable,
 }
@@ -59,12 +69,20 @@
         }
         match act {
             Act::Answer(status) => Ok(respond(status, Verdict::Ran)),
+            Act::AnswerHalf => {
+                let body = StreamBody::new(pending::<Result<Frame<Bytes>, BodyError>>());
+                Ok(respond(200, Verdict::Ran).map(|_| body.boxed_unsync()))
+            }
             Act::Break => Err(SendError::sent("connection reset")),
             Act::Hang => {
                 sleep(Duration::from_secs(60)).await;
                 Ok(respond(200, Verdict::Ran))
             }
             Act::Misdirect => Ok(respond(421, Verdict::Misdirected)),
+            Act::Read => match request.into_body().collect().await {
+                Ok(_) => Ok(respond(200, Verdict::Ran)),
+                Err(error) => Err(SendError::sent(error.to_string())),
+            },
             Act::Refuse => Ok(respond(503, Verdict::NotRun)),
             Act::Unreachable => Err(SendError::not_sent("connection refused", request)),
         }
@@ -111,12 +129,20 @@
     }
 
     async fn ask(&self, path: &str, deadline: Duration) -> String {
-        let caller = CallerRequest::new("a.example", path).deadline(Some(deadline));
         let body = if path.starts_with("/read") { empty_body() } else { full_body("body") };
+        self.send(path, deadline, body).await
+    }
+
+    async fn send(&self, path: &str, deadline: Duration, body: Body) -> String {
+        let caller = CallerRequest::new("a.example", path).deadline(Some(deadline));
         let request = Request::post(path).body(body).unwrap();
         let start = tokio::time::Instant::now();
         let answer = match forward_request(&self.router, &caller, request).await {
-            Ok(response) => format!("{} of a target", response.status().as_u16()),
+            Ok(response) => {
+                let status = response.status().as_u16();
+                let whole = timeout(DAY, response.into_body().collect()).await.unwrap().is_ok();
+                format!("{status} of a target{}", if whole { "" } else { ", cut" })
+            }
             Err(refusal) => {
                 let answer = refusal.answer();
                 format!("{} {}, {}", answer.status.as_u16(), refusal.kind, answer.outcome)
@@ -167,6 +193,45 @@
     insta::assert_snapshot!(table);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_stalls_is_cut_at_its_time() {
+    let mut table = String::new();
+    for ms in [300, 9_000] {
+        let world = World::new(&[Act::AnswerHalf]).with_routes();
+        let end = world.ask("/read/7", Duration::from_millis(ms)).await;
+        writeln!(table, "deadline {ms} ms: {end}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// A body of some chunks of 256 KiB without a length, which then ends, breaks off or stalls.
+fn chunked(chunks: usize, end: &'static str) -> Body {
+    let frame = || Ok(Frame::data(Bytes::from_static(&[7; 256 << 10])));
+    let chunks = iter((0..chunks).map(move |_| frame()));
+    let broken = || BodyError { reason: "the caller left".to_owned() };
+    match end {
+        "breaks off" => StreamBody::new(chunks.chain(iter([Err(broken())]))).boxed_unsync(),
+        "stalls" => StreamBody::new(chunks.chain(pending())).boxed_unsync(),
+        _ => StreamBody::new(chunks).boxed_unsync(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_fails_is_no_fault_of_its_target() {
+    let mut table = String::new();
+    for (chunks, end) in [(3, "ends"), (5, "ends"), (2, "breaks off"), (2, "stalls")] {
+        let world = World::new(&[Act::Read]).with_routes();
+        let answer = world.send("/upload/7", Duration::from_secs(1), chunked(chunks, end)).await;
+        let name = world.targets.sent.lock().unwrap()[0].clone();
+        let mut others = steer::PlaceQuery::new("briefs");
+        others.excluded = (1..=4).map(|i| format!("t-{i}").into()).collect();
+        others.excluded.remove(name.as_str());
+        let usable = world.router.board().place(&others).is_ok();
+        writeln!(table, "{chunks} chunks, {end}: {answer}; target usable: {usable}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
 #[tokio::test(start_paused = true)]
 async fn knows_no_route_only_with_a_configuration() {
     let second = Duration::from_secs(1);
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -26,8 +26,7 @@
     let rules = BoardRules { cold_burst: 4.0, cold_factor: 1.5, max_shift: 1.0 };
     let here = ("lis-a".into(), "lisboa".into());
     let board = TargetBoard::new(vm.into(), here, BTreeMap::from(zones), rules);
-    let rules =
-        ServiceRules { cold_rate: RATE, cold_time: Duration::from_secs(3), connections: 100 };
+    let rules = ServiceRules { cold_rate: RATE, cold_time: Duration::from_secs(3) };
     board.set_rules(&RouteTable::new(1).service("briefs".into(), rules));
     Arc::new(board)
 }
