Read answers that wait behind another one at once; add the fault soak

By then the target had closed the connection, or the answer's own time was over, and the caller's connection was cut. Ruled out: the refusal before it closes nothing; the caller keeps open. Change: the body of an answer that waits its turn is read at once, up to 64 KiB. Test, failing before: an_answer_that_waits_behind_a_slow_one_is_read_at_once.

The soak runs eight VMs as processes on loopback, with faults drawn from a seed, and checks what callers and targets see.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -6,7 +6,10 @@
     to_body,
     write_limit::WriteLimit,
 };
+use futures_util::stream::iter;
 use http::{Request, Response, Version};
+use http_body::Body as _;
+use http_body_util::{BodyExt, StreamBody};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -25,13 +28,16 @@
     },
     time::Duration,
 };
-use steer::{Body, empty_body};
+use steer::{Body, empty_body, full_body};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
 };
 use tokio_util::task::AbortOnDropHandle;
 
+/// Largest body, in bytes, of an answer that is read before its turn.
+const MOST_KEPT: u64 = 64 << 10;
+
 /// Tells whether a pipelined request may be started while an earlier one is under way.
 pub type EarlyFilter = Arc<dyn Fn(&Request<()>) -> bool + Send + Sync>;
 
@@ -174,7 +180,10 @@
     let start = |head: &Request<()>| {
         let allowed = early.as_ref().is_some_and(|filter| filter(head));
         let request = head.clone().map(|()| empty_body());
-        allowed.then(|| AbortOnDropHandle::new(tokio::spawn(handler(request, caller))))
+        allowed.then(|| {
+            let answer = handler(request, caller);
+            AbortOnDropHandle::new(tokio::spawn(async { read_small(answer.await).await }))
+        })
     };
     let (waiting, serve) = (stream.clone(), handler.clone());
     let service = service_fn(move |request: Request<Incoming>| {
@@ -219,6 +228,21 @@
     }
 }
 
+/// Reads a small body whole: an answer that waits behind another one must not depend on how long
+/// its target keeps the connection. A body that breaks off stays one that does.
+async fn read_small(answer: Response<Body>) -> Response<Body> {
+    let length = answer.body().size_hint().upper();
+    if length.is_none_or(|length| length > MOST_KEPT) {
+        return answer;
+    }
+    let (head, body) = answer.into_parts();
+    let body = match body.collect().await {
+        Ok(whole) => full_body(whole.to_bytes()),
+        Err(error) => StreamBody::new(iter([Err(error)])).boxed_unsync(),
+    };
+    Response::from_parts(head, body)
+}
+
 /// Whether a request that was started early is the one that hyper has read.
 fn is_same(head: &Request<()>, request: &Request<Incoming>) -> bool {
     head.method() == request.method()
--- a/crates/adapters/tests/early_requests.rs
+++ b/crates/adapters/tests/early_requests.rs
@@ -13,11 +13,11 @@
     },
     time::Duration,
 };
-use steer::full_body;
+use steer::{BodyFault, BodyLimits, bound_body, full_body};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 const WORK: Duration = Duration::from_millis(150);
@@ -49,9 +49,12 @@
             counts.most.fetch_max(begun - counts.ended.load(Ordering::SeqCst), Ordering::SeqCst);
             let path = request.uri().path().to_owned();
             let body = request.into_body().collect().await.unwrap().to_bytes();
-            sleep(WORK).await;
+            sleep(if path == "/slow" { 4 * WORK } else { WORK }).await;
             counts.ended.fetch_add(1, Ordering::SeqCst);
-            Response::new(full_body(format!("{path}:{}", body.len())))
+            let answer = full_body(format!("{path}:{}", body.len()));
+            // As from a target that resets its connection a while after it has answered.
+            let until = Instant::now() + WORK;
+            Response::new(bound_body(answer, BodyLimits::until(until), BodyFault::default()))
         }
     }));
     (address, counts)
@@ -101,6 +104,13 @@
     }
 }
 
+#[tokio::test]
+async fn an_answer_that_waits_behind_a_slow_one_is_read_at_once() {
+    let (address, _) = serve(true).await;
+    let text = "GET /slow HTTP/1.1\r\nhost: a\r\n\r\nGET /b HTTP/1.1\r\nhost: a\r\n\r\n";
+    assert_eq!(exchange(address, text, 2).await, ["/slow:0", "/b:0"]);
+}
+
 #[tokio::test]
 async fn bodies_between_pipelined_requests_keep_their_place() {
     let (address, counts) = serve(true).await;
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -9,10 +9,13 @@
 use serde_json::{Value, json};
 use std::{
     env, fs,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 use steer::{Body, empty_body, full_body};
@@ -21,9 +24,12 @@
 const WAIT: Duration = Duration::from_secs(10);
 const WORK: Duration = Duration::from_millis(600);
 
-/// An address that was free a moment ago.
+/// A loopback address that nobody listens at: an IP number of its own for each call, so that no
+/// connection of another test can take the port.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind((Ipv4Addr::new(127, 0, call, 6), 0)).unwrap().local_addr().unwrap()
 }
 
 /// A target that works for a while and says who it is.
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,148 @@
+//! Callers that send requests and note how each ends.
+
+use crate::{End, Ending, Kind, Ledger, World, world::VmPorts};
+use adapters::ConnectionPool;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::Value;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use steer::{SendError, empty_body, full_body};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time that a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Time beyond the deadline after which an answer is taken for missing.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Time that a directory answer is used for; the directory allows two seconds.
+const KEEP: Duration = Duration::from_secs(2);
+/// Longest wait for a directory.
+const DIRECTORY_WAIT: Duration = Duration::from_secs(1);
+/// Bytes of an upload.
+const UPLOAD: usize = 100 << 10;
+
+/// Sends requests for ever; kept connections are used until they fail.
+pub async fn call_for_ever(world: Arc<World>, number: u64, seed: u64) {
+    let caller = Caller {
+        ledger: Arc::clone(&world.ledger),
+        pool: ConnectionPool::with_connect_wait(Duration::from_secs(1)),
+        ports: world.ports.clone(),
+    };
+    let mut rng = SmallRng::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9));
+    let (mut addresses, mut known) = (Vec::new(), Instant::now());
+    for count in 0_u64.. {
+        if addresses.is_empty() || known.elapsed() > KEEP {
+            // Callers keep an old answer while they get no new one.
+            if let Some(fresh) = caller.resolve(&mut rng).await {
+                addresses = fresh;
+                known = Instant::now();
+            }
+        }
+        sleep(PAUSE.mul_f64(rng.random_range(0.5..1.5))).await;
+        if addresses.is_empty() {
+            continue;
+        }
+        let address = addresses[rng.random_range(0..addresses.len())];
+        let Some(vm) = caller.ports.iter().position(|ports| ports.callers == address) else {
+            continue;
+        };
+        let kind = match rng.random_range(0..10) {
+            0 => Kind::Upload,
+            1..=3 => Kind::Once,
+            4 | 5 => Kind::Moved,
+            _ => Kind::Read,
+        };
+        let id = format!("{number}-{count}");
+        let object = rng.random_range(0..20);
+        let ending = caller.call((address, vm), kind, &id, object).await;
+        if matches!(ending, Ending::Unreached) {
+            addresses.retain(|other| *other != address);
+        }
+    }
+}
+
+struct Caller {
+    ledger: Arc<Ledger>,
+    pool: Arc<ConnectionPool>,
+    ports: Vec<VmPorts>,
+}
+
+impl Caller {
+    /// Asks up to three VMs where to connect.
+    async fn resolve(&self, rng: &mut SmallRng) -> Option<Vec<SocketAddr>> {
+        let zone = if rng.random_bool(0.7) { ("lis-a", "lisboa") } else { ("por-a", "porto") };
+        for _ in 0..3 {
+            let directory = self.ports[rng.random_range(0..self.ports.len())].directory;
+            let (zone, region) = zone;
+            let path = format!("/-/resolve?name=soak.example&region={region}&zone={zone}");
+            let request = Request::get(path).header("host", "soak.example").body(empty_body());
+            let Ok(request) = request else { return None };
+            let answer = async {
+                let answer = self.pool.send(directory, request).await.ok()?;
+                let bytes = answer.into_body().collect().await.ok()?.to_bytes();
+                let value: Value = serde_json::from_slice(&bytes).ok()?;
+                let list = value["addresses"].as_array()?.iter();
+                list.map(|address| address.as_str()?.parse().ok()).collect()
+            };
+            // Another VM is asked where one gives no answer.
+            if let Ok(Some(addresses)) = timeout(DIRECTORY_WAIT, answer).await {
+                return Some(addresses);
+            }
+        }
+        None
+    }
+
+    async fn call(
+        &self,
+        (address, vm): (SocketAddr, usize),
+        kind: Kind,
+        id: &str,
+        object: u32,
+    ) -> Ending {
+        let (name, method, body) = match kind {
+            Kind::Moved => ("moved", Method::GET, Bytes::new()),
+            Kind::Once => ("once", Method::POST, Bytes::from_static(b"approve")),
+            Kind::Read => ("read", Method::GET, Bytes::new()),
+            Kind::Upload => ("upload", Method::POST, Bytes::from(vec![7; UPLOAD])),
+        };
+        let length = body.len();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("/{name}/{object}"))
+            .header("host", "soak.example")
+            .header("request-id", id)
+            .header("affinity-key", object)
+            .header("deadline-ms", DEADLINE.as_millis() as u64)
+            .body(full_body(body))
+            .expect("all parts of the request are valid");
+        let sent = Instant::now();
+        let exchange = async {
+            let answer = match self.pool.send(address, request).await {
+                Ok(answer) => answer,
+                Err(SendError::NotSent { .. }) => return Ending::Unreached,
+                Err(SendError::Sent { .. }) => return Ending::Broken,
+            };
+            let signed = answer.headers().contains_key("response-stamp");
+            let status = answer.status();
+            let Ok(body) = answer.into_body().collect().await else { return Ending::Broken };
+            if status != StatusCode::OK {
+                return Ending::Status(status.as_u16());
+            }
+            let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+            Ending::Answer(if signed { text } else { format!("unsigned: {text}") })
+        };
+        let ending = timeout(DEADLINE + PATIENCE, exchange).await.unwrap_or(Ending::None);
+        let ending = match ending {
+            Ending::Answer(text) if text == format!("{id} {length}") => {
+                Ending::Answer("whole".to_owned())
+            }
+            other => other,
+        };
+        let end = End { at: Instant::now(), ending: ending.clone(), kind, sent, vm };
+        self.ledger.note_end(id.to_owned(), end);
+        ending
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,82 @@
+//! The soak's command line.
+
+use lexopt::{Arg, Parser, ValueExt};
+use soak::{SoakOptions, SoakReport, run_soak};
+use std::{env, error::Error, process::ExitCode, time::Duration};
+
+const HELP: &str = "\
+Runs entry VMs as processes, injects faults, and checks what callers see.
+
+Usage: soak [OPTIONS]
+
+Options:
+  --seconds N   Time with calls (default 30)
+  --seed N      First seed (default 1)
+  --seeds N     Number of seeds, one after the other (default 1)
+";
+/// Broken promises that are printed, a promise.
+const MOST_LINES: usize = 5;
+
+fn main() -> ExitCode {
+    let args: Vec<_> = env::args_os().collect();
+    // The soak starts entry VMs as processes of its own program.
+    if args.get(1).is_some_and(|arg| arg == "router") {
+        return ragwortswitch::run_command(args, |peers| peers);
+    }
+    match run(Parser::from_iter(args)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(mut parser: Parser) -> Result<bool, Box<dyn Error>> {
+    let (mut seconds, mut first, mut count) = (30, 1, 1);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(true);
+            }
+            Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            Arg::Long("seed") => first = parser.value()?.parse()?,
+            Arg::Long("seeds") => count = parser.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let program = env::current_exe()?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut sound = true;
+    for seed in first..first + count {
+        let options = SoakOptions::new(program.clone(), seed);
+        let options = options.length(Duration::from_secs(seconds));
+        let report = runtime.block_on(run_soak(&options))?;
+        sound &= print(seed, &report);
+    }
+    Ok(sound)
+}
+
+/// Prints a report, and tells whether all promises held.
+fn print(seed: u64, report: &SoakReport) -> bool {
+    let SoakReport { folder, served, steps, total, violations } = report;
+    println!("seed {seed}: {served} of {total} served, {} faults", steps.len());
+    if violations.is_empty() {
+        // The logs are of use only where something is wrong.
+        let _ = std::fs::remove_dir_all(folder);
+        return true;
+    }
+    for (promise, all) in violations {
+        println!("  {promise}: {} times", all.len());
+        for violation in all.iter().take(MOST_LINES) {
+            println!("    {}", violation.detail);
+        }
+    }
+    for step in steps {
+        println!("  {:6.2} s {:?}", step.at.as_secs_f64(), step.fault);
+    }
+    println!("  logs in {}", folder.display());
+    false
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,229 @@
+//! One soak from its seed to its verdict.
+
+use crate::{
+    Exit, Fault, LinkFault, Plan, Schedule, Step, Subject, Violation, World, call_for_ever, judge,
+    world::GRACE,
+};
+use adapters::ConnectionPool;
+use futures_util::future::join_all;
+use http::Request;
+use lab::StoreFault;
+use std::{collections::BTreeMap, env, io, path::PathBuf, process, sync::Arc, time::Duration};
+use steer::empty_body;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// Callers at a time.
+const CALLERS: u64 = 24;
+/// Time at the end in which all has to be served.
+const SERVED_AGAIN: Duration = Duration::from_secs(4);
+/// Time for which a target that is leaving still serves.
+const LEAVE: Duration = Duration::from_secs(5);
+/// Time after which a target that left is back.
+const BACK: Duration = Duration::from_secs(1);
+/// Longest start of the fleet.
+const START: Duration = Duration::from_secs(20);
+/// Longest wait for what is under way at the end.
+const LAST: Duration = Duration::from_secs(5);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Time with calls.
+    pub length: Duration,
+    /// The program of the VMs.
+    pub program: PathBuf,
+    /// The seed of the faults.
+    pub seed: u64,
+}
+
+impl SoakOptions {
+    /// Makes options for half a minute.
+    pub fn new(program: PathBuf, seed: u64) -> Self {
+        Self { length: Duration::from_secs(30), program, seed }
+    }
+
+    /// Sets the time with calls.
+    pub fn length(mut self, length: Duration) -> Self {
+        self.length = length;
+        self
+    }
+}
+
+/// What came of a soak.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// Where the logs are.
+    pub folder: PathBuf,
+    /// Requests that were answered by a target.
+    pub served: usize,
+    /// The steps that were made.
+    pub steps: Vec<Step>,
+    /// Requests that ended.
+    pub total: usize,
+    /// Broken promises, by promise.
+    pub violations: BTreeMap<&'static str, Vec<Violation>>,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// Where the fleet can't be started.
+pub async fn run_soak(options: &SoakOptions) -> io::Result<SoakReport> {
+    let name = format!("soak-{}-{}", options.seed, process::id());
+    let folder = env::temp_dir().join(name);
+    let world = Arc::new(World::start(&options.program, &folder).await?);
+    wait_ready(&world).await?;
+    let schedule = Schedule::draw(options.seed, options.length);
+    let start = Instant::now();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        callers.spawn(call_for_ever(Arc::clone(&world), number, options.seed));
+    }
+    let mut faults = JoinSet::new();
+    for step in schedule.steps.clone() {
+        let world = Arc::clone(&world);
+        faults.spawn(async move {
+            sleep_until(start + step.at).await;
+            play(&world, step.fault).await;
+        });
+    }
+    sleep_until(start + schedule.length).await;
+    callers.shutdown().await;
+    faults.shutdown().await;
+    // Runs of requests that broke off may still begin.
+    sleep(LAST.min(LEAVE)).await;
+    let ends = world.ledger.ends();
+    let answered = |end: &&crate::End| matches!(end.ending, crate::Ending::Answer(_));
+    let mut violations: BTreeMap<&'static str, Vec<Violation>> = BTreeMap::new();
+    for violation in judge(&world.ledger, start + schedule.length - SERVED_AGAIN) {
+        violations.entry(violation.promise).or_default().push(violation);
+    }
+    Ok(SoakReport {
+        folder,
+        served: ends.values().filter(answered).count(),
+        steps: schedule.steps,
+        total: ends.len(),
+        violations,
+    })
+}
+
+async fn wait_ready(world: &World) -> io::Result<()> {
+    let pool = ConnectionPool::new();
+    let start = Instant::now();
+    for ports in &world.ports {
+        loop {
+            let request = Request::get("/-/ready").header("host", "soak.example");
+            let request = request.body(empty_body()).map_err(io::Error::other)?;
+            let answer = pool.send(ports.ready, request).await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                break;
+            }
+            if start.elapsed() > START {
+                return Err(io::Error::other("a VM did not get ready"));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn play(world: &World, fault: Fault) {
+    let ledger = &world.ledger;
+    match fault {
+        Fault::Compact => world.compact(),
+        Fault::Configure(count) => {
+            for _ in 0..count {
+                world.configure();
+                sleep(Duration::from_millis(150)).await;
+            }
+        }
+        Fault::Drain(target) => drain(world, target).await,
+        Fault::Evacuate(zone, time) => {
+            world.evacuate(zone, true);
+            sleep(time).await;
+            world.evacuate(zone, false);
+        }
+        Fault::HangUp(vm) => world.processes[vm].lock().await.signal("HUP"),
+        Fault::Kill(vm, time) => kill(world, vm, time).await,
+        Fault::KillAll(time) => {
+            join_all((0..world.processes.len()).map(|vm| kill(world, vm, time))).await;
+        }
+        Fault::Pause(vm, time) => {
+            let process = world.processes[vm].lock().await;
+            let trouble = ledger.begin(Subject::Vm(vm));
+            process.signal("STOP");
+            sleep(time).await;
+            process.signal("CONT");
+            ledger.end(trouble);
+        }
+        Fault::Store(fault, time) => {
+            let trouble = ledger.begin(Subject::Store);
+            world.spoil_store(fault);
+            sleep(time).await;
+            world.spoil_store(StoreFault::None);
+            ledger.end(trouble);
+        }
+        Fault::StoreLink(vm, link, time) => {
+            let trouble = ledger.begin(Subject::Vm(vm));
+            world.spoil_store_link(vm, link);
+            sleep(time).await;
+            world.spoil_store_link(vm, LinkFault::None);
+            ledger.end(trouble);
+        }
+        Fault::TargetLink(target, link, time) => {
+            let trouble = ledger.begin(Subject::Target(target));
+            world.targets[target].spoil(link);
+            sleep(time).await;
+            world.targets[target].spoil(LinkFault::None);
+            ledger.end(trouble);
+        }
+        Fault::Terminate(vm) => terminate(world, vm).await,
+    }
+}
+
+async fn kill(world: &World, vm: usize, time: Duration) {
+    let mut process = world.processes[vm].lock().await;
+    let trouble = world.ledger.begin(Subject::Vm(vm));
+    process.kill();
+    sleep(time).await;
+    if let Err(error) = process.restart() {
+        world.ledger.note_bad_stop(format!("VM {vm} did not start again: {error}"));
+    }
+    world.ledger.end(trouble);
+}
+
+/// Stops a VM as planned, and starts it again.
+async fn terminate(world: &World, vm: usize) {
+    let mut process = world.processes[vm].lock().await;
+    process.signal("TERM");
+    let exit = process.wait(GRACE).await;
+    if exit != Exit::Code(0) {
+        world.ledger.note_bad_stop(format!("VM {vm} after SIGTERM: {exit}"));
+        process.kill();
+    }
+    let trouble = world.ledger.begin(Subject::Vm(vm));
+    if let Err(error) = process.restart() {
+        world.ledger.note_bad_stop(format!("VM {vm} did not start again: {error}"));
+    }
+    world.ledger.end(trouble);
+}
+
+/// Drains a target, ends it, and brings it back as a new incarnation.
+async fn drain(world: &World, target: usize) {
+    world.register(target, "draining");
+    world.ledger.note_plan(Plan::Drained(target));
+    sleep(LEAVE).await;
+    world.deregister(target);
+    let trouble = world.ledger.begin(Subject::Target(target));
+    world.targets[target].spoil(LinkFault::Reset);
+    sleep(BACK).await;
+    world.targets[target].restart();
+    world.targets[target].spoil(LinkFault::None);
+    world.ledger.end(trouble);
+    world.register(target, "ready");
+    world.ledger.note_plan(Plan::Undrained(target));
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,100 @@
+//! The faults of a seed.
+
+use crate::{Fault, LinkFault, TARGETS, VMS, world::ZONES};
+use lab::StoreFault;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+/// Time before the first fault.
+pub(crate) const CALM_START: Duration = Duration::from_secs(4);
+/// Time without faults at the end, in which all has to be served again: a late restart, the return
+/// of the store and a drain that is under way end in it.
+pub(crate) const CALM_END: Duration = Duration::from_secs(12);
+/// Mean time from one fault to the next.
+const MEAN_GAP: Duration = Duration::from_millis(900);
+
+/// A fault at a time from the start of the calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// When it begins.
+    pub at: Duration,
+    /// What is done.
+    pub fault: Fault,
+}
+
+/// The steps of a seed in the order of their times.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    /// Time for which calls are made.
+    pub length: Duration,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+impl Schedule {
+    /// Draws the steps of a seed; they overlap and come in series.
+    pub fn draw(seed: u64, length: Duration) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at = CALM_START;
+        while at + CALM_END < length {
+            let fault = draw_fault(&mut rng);
+            let series = if rng.random_bool(0.2) { rng.random_range(2..4) } else { 1 };
+            for i in 0..series {
+                let later = Duration::from_millis(300) * i;
+                steps.push(Step { at: at + later, fault: repeat(fault, i as usize) });
+            }
+            at += MEAN_GAP.mul_f64(rng.random_range(0.2..1.8));
+        }
+        steps.sort_by_key(|step| step.at);
+        Self { length, steps }
+    }
+}
+
+fn seconds(rng: &mut SmallRng, from: f64, to: f64) -> Duration {
+    Duration::from_secs_f64(rng.random_range(from..to))
+}
+
+fn draw_fault(rng: &mut SmallRng) -> Fault {
+    let (vm, target) = (rng.random_range(0..VMS), rng.random_range(0..TARGETS));
+    let store =
+        [StoreFault::Busy, StoreFault::LosesAnswers, StoreFault::Silent, StoreFault::TooMany]
+            [rng.random_range(0..4)];
+    let link = [
+        LinkFault::Delay(Duration::from_millis(150)),
+        LinkFault::Mute,
+        LinkFault::Reset,
+        LinkFault::Silent,
+    ][rng.random_range(0..4)];
+    match rng.random_range(0..16) {
+        0 => Fault::Configure(1),
+        1 => Fault::Configure(4),
+        2 => Fault::Evacuate(rng.random_range(0..ZONES.len()), seconds(rng, 5.0, 8.0)),
+        3 => Fault::HangUp(vm),
+        4 => Fault::Kill(vm, seconds(rng, 0.2, 2.0)),
+        5 if rng.random_bool(0.3) => Fault::KillAll(seconds(rng, 0.2, 1.0)),
+        5 | 6 => Fault::Pause(vm, seconds(rng, 0.3, 4.0)),
+        7 => Fault::Compact,
+        8 | 9 => Fault::Store(store, seconds(rng, 0.5, 5.0)),
+        10 | 11 => Fault::StoreLink(vm, link, seconds(rng, 0.5, 5.0)),
+        12 => Fault::Drain(target),
+        13 => Fault::TargetLink(target, link, seconds(rng, 0.3, 3.0)),
+        _ => Fault::Terminate(vm),
+    }
+}
+
+/// The same fault on the next VM, target or zone.
+fn repeat(fault: Fault, i: usize) -> Fault {
+    let vm = |vm: usize| (vm + i) % VMS;
+    let target = |target: usize| (target + i) % TARGETS;
+    match fault {
+        Fault::Drain(t) => Fault::Drain(target(t)),
+        Fault::HangUp(v) => Fault::HangUp(vm(v)),
+        Fault::Kill(v, time) => Fault::Kill(vm(v), time),
+        Fault::Pause(v, time) => Fault::Pause(vm(v), time),
+        Fault::StoreLink(v, link, time) => Fault::StoreLink(vm(v), link, time),
+        Fault::TargetLink(t, link, time) => Fault::TargetLink(target(t), link, time),
+        Fault::Terminate(v) => Fault::Terminate(vm(v)),
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/target.rs
@@ -0,0 +1,178 @@
+//! A target that records what it runs.
+
+use crate::{Ledger, LinkFault, Proxy, Run};
+use adapters::{Listener, ListenerLimits};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use steer::{Body, empty_body, full_body};
+use tokio::time::{Instant, sleep};
+
+/// Requests that a target runs at a time; the others wait.
+const SLOTS: u32 = 8;
+/// Requests that may run or wait; more are refused.
+const MOST: u32 = 24;
+/// Time that a request takes.
+const WORK: Duration = Duration::from_millis(40);
+
+/// A target behind a proxy.
+#[derive(Debug)]
+pub struct SoakTarget {
+    incarnation: Arc<AtomicU64>,
+    number: usize,
+    proxy: Proxy,
+    service: &'static str,
+    zone: &'static str,
+}
+
+/// What each request of a target needs.
+#[derive(Clone, Debug)]
+struct Desk {
+    busy: Arc<AtomicU32>,
+    incarnation: Arc<AtomicU64>,
+    ledger: Arc<Ledger>,
+    number: usize,
+    service: &'static str,
+}
+
+/// Name of an incarnation of a target.
+fn name(number: usize, incarnation: u64) -> String {
+    format!("i-{number}-{incarnation}")
+}
+
+impl SoakTarget {
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// Where no port can be bound.
+    pub async fn start(
+        number: usize,
+        service: &'static str,
+        zone: &'static str,
+        ledger: Arc<Ledger>,
+    ) -> io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Listener::bind(any, ListenerLimits::default()).await?;
+        let proxy = Proxy::start(listener.address()?).await?;
+        let incarnation = Arc::new(AtomicU64::new(1));
+        let desk = Desk {
+            busy: Arc::default(),
+            incarnation: Arc::clone(&incarnation),
+            ledger,
+            number,
+            service,
+        };
+        tokio::spawn(listener.serve(move |request, _| {
+            let desk = desk.clone();
+            async move { desk.answer(request).await }
+        }));
+        Ok(Self { incarnation, number, proxy, service, zone })
+    }
+
+    /// Where VMs reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.proxy.address()
+    }
+
+    /// Name of its incarnation.
+    pub fn name(&self) -> String {
+        name(self.number, self.incarnation.load(Ordering::Relaxed))
+    }
+
+    /// Ends its incarnation and begins the next.
+    pub fn restart(&self) {
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Service that it belongs to.
+    pub fn service(&self) -> &'static str {
+        self.service
+    }
+
+    /// Spoils the connections to it.
+    pub fn spoil(&self, fault: LinkFault) {
+        self.proxy.set(fault);
+    }
+
+    /// Zone in which it stands.
+    pub fn zone(&self) -> &'static str {
+        self.zone
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+fn respond(status: StatusCode, body: Body, header: (&'static str, &'static str)) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(header.0, HeaderValue::from_static(header.1));
+    response
+}
+
+impl Desk {
+    async fn answer(&self, request: Request<Body>) -> Response<Body> {
+        let headers = request.headers().clone();
+        let id = text(&headers, "request-id").to_owned();
+        let expected = text(&headers, "expect-instance").to_owned();
+        let own = name(self.number, self.incarnation.load(Ordering::Relaxed));
+        let refusal = ("not-run", "1");
+        if !expected.is_empty() && expected != own {
+            return respond(StatusCode::MISDIRECTED_REQUEST, empty_body(), refusal);
+        }
+        if self.busy.load(Ordering::Relaxed) >= MOST {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, empty_body(), refusal);
+        }
+        let _busy = Busy::new(&self.busy);
+        let run = Run {
+            at: Instant::now(),
+            service: self.service,
+            target: self.number,
+            unnamed: expected.is_empty(),
+        };
+        self.ledger.note_run(&id, run);
+        let Ok(body) = request.into_body().collect().await else {
+            // The sender broke off its body, and nothing is left to answer to.
+            return respond(StatusCode::BAD_REQUEST, empty_body(), refusal);
+        };
+        sleep(WORK).await;
+        let length = body.to_bytes().len();
+        let stamp = ("response-stamp", "3e1b.07");
+        let body = full_body(format!("{id} {length}"));
+        let mut response = respond(StatusCode::OK, body, stamp);
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert("request-id", id);
+        }
+        let load = format!("{},0,{SLOTS},100", self.busy.load(Ordering::Relaxed));
+        if let Ok(load) = HeaderValue::from_str(&load) {
+            response.headers_mut().insert("server-load", load);
+        }
+        response
+    }
+}
+
+/// Counts a request until it ends.
+struct Busy(Arc<AtomicU32>);
+
+impl Busy {
+    fn new(busy: &Arc<AtomicU32>) -> Self {
+        busy.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(busy))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,192 @@
+//! The processes, their store and their targets.
+
+use crate::{Ledger, LinkFault, Plan, Proxy, SoakTarget, VmProcess};
+use lab::{ObjectStore, StoreFault};
+use serde_json::{Value, json};
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::Mutex;
+
+/// Entry VMs; those of the first region are more than read the store themselves.
+pub const VMS: usize = 8;
+/// Targets, dealt out over zones and services.
+pub const TARGETS: usize = 12;
+/// Zones with their regions.
+pub(crate) const ZONES: [(&str, &str); 3] =
+    [("lis-a", "lisboa"), ("lis-b", "lisboa"), ("por-a", "porto")];
+/// Zone of each VM.
+const VM_ZONES: [usize; VMS] = [0, 1, 0, 1, 0, 1, 2, 2];
+/// Services; moved requests change between them.
+pub(crate) const SERVICES: [&str; 2] = ["briefs", "media"];
+/// Time that the operators allow a process to stop.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
+
+/// Ports of one VM.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VmPorts {
+    pub(crate) callers: SocketAddr,
+    pub(crate) directory: SocketAddr,
+    metrics: SocketAddr,
+    peers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct World {
+    folder: PathBuf,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) ports: Vec<VmPorts>,
+    pub(crate) processes: Vec<Mutex<VmProcess>>,
+    store: ObjectStore,
+    links: Vec<Proxy>,
+    pub(crate) targets: Vec<SoakTarget>,
+    version: AtomicU32,
+}
+
+/// A loopback address that nobody listens at: an IP number of its own for each process and call,
+/// so that no connection can take the port.
+fn free_address() -> io::Result<SocketAddr> {
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = process::id().to_be_bytes();
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind((Ipv4Addr::new(127, high | 1, low, call), 0))?.local_addr()
+}
+
+impl World {
+    /// Starts store, targets and processes; their files go into a folder.
+    ///
+    /// # Errors
+    ///
+    /// Where something can't be started.
+    pub async fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        let ledger = Arc::new(Ledger::default());
+        let store = ObjectStore::default();
+        let (address, _) = store.serve(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let (mut links, mut ports, mut targets) = (Vec::new(), Vec::new(), Vec::new());
+        for number in 0..TARGETS {
+            let zone = ZONES[number % ZONES.len()].0;
+            let service = SERVICES[number / ZONES.len() % SERVICES.len()];
+            targets.push(SoakTarget::start(number, service, zone, Arc::clone(&ledger)).await?);
+        }
+        for _ in 0..VMS {
+            links.push(Proxy::start(address).await?);
+            ports.push(VmPorts {
+                callers: free_address()?,
+                directory: free_address()?,
+                metrics: free_address()?,
+                peers: free_address()?,
+                ready: free_address()?,
+            });
+        }
+        let mut world = Self {
+            folder: folder.into(),
+            ledger,
+            links,
+            ports,
+            processes: Vec::new(),
+            store,
+            targets,
+            version: AtomicU32::new(0),
+        };
+        world.configure();
+        (0..TARGETS).for_each(|number| world.register(number, "ready"));
+        for vm in 0..VMS {
+            let process = world.start_vm(program, vm)?;
+            world.processes.push(Mutex::new(process));
+        }
+        Ok(world)
+    }
+
+    fn start_vm(&self, program: &Path, vm: usize) -> io::Result<VmProcess> {
+        let (zone, region) = ZONES[VM_ZONES[vm]];
+        let ports = &self.ports[vm];
+        let zones: serde_json::Map<String, Value> =
+            ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), json!(region))).collect();
+        let settings = json!({
+            "callers": ports.callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
+            "cpu_share": 0.2, "directory": ports.directory, "grace_s": GRACE.as_secs(),
+            "max_shift": 0.15, "metrics": ports.metrics, "name": format!("entry-{vm}"),
+            "peers": ports.peers, "ready": ports.ready, "region": region,
+            "seeds": [self.ports[0].peers], "store": self.links[vm].address(), "zone": zone,
+            "zones": zones,
+        });
+        let file = self.folder.join(format!("entry-{vm}.jsonc"));
+        fs::write(&file, settings.to_string())?;
+        VmProcess::start(program, &file, &self.folder.join(format!("entry-{vm}.log")))
+    }
+
+    /// Writes the next configuration, which sends moved requests to the other service.
+    pub fn configure(&self) {
+        // Versions rise in uneven steps.
+        let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
+        let service = SERVICES[version as usize / 3 % SERVICES.len()];
+        let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+            json!({ "name": name, "host": "soak.example", "path_prefix": format!("/{name}/"),
+                    "kind": kind, "timeout_s": 4, "attempts": attempts, "service": service,
+                    "sticky": true, "target_latency_s": 1.0 })
+        };
+        let routes = [
+            route("moved", "safe", service, 2),
+            route("once", "unsafe", SERVICES[0], 2),
+            route("read", "safe", SERVICES[0], 3),
+            route("upload", "upload", SERVICES[1], 2),
+        ];
+        let rules = SERVICES.map(|name| json!({ "name": name, "cold_per_s": 50.0 }));
+        let spec = json!({ "version": format!("{version:08x}"), "routes": routes,
+                           "services": rules, "limits": { "max_body_bytes": 1 << 20 } });
+        self.store.put("config", "main", spec, Value::Null);
+        self.ledger.note_plan(Plan::Configured(service));
+    }
+
+    /// Registers a target's incarnation in a state.
+    pub(crate) fn register(&self, number: usize, state: &str) {
+        let target = &self.targets[number];
+        let info = json!({ "service": target.service(), "version": "v1", "zone": target.zone(),
+                           "slots": 8 });
+        let spec = json!({ "address": target.address(), "born": 1, "info": info });
+        let status = json!({ "state": state, "seq_no": 1, "cold_remaining_s": 0 });
+        self.store.put("servers", &target.name(), spec, status);
+    }
+
+    /// Removes the registration of a target's incarnation.
+    pub(crate) fn deregister(&self, number: usize) {
+        self.store.remove("servers", &self.targets[number].name());
+    }
+
+    /// Asks for a zone to be empty, or takes it back.
+    pub(crate) fn evacuate(&self, zone: usize, empty: bool) {
+        if empty {
+            self.store.put("evacuations", ZONES[zone].0, json!({}), Value::Null);
+            self.ledger.note_plan(Plan::Evacuated(zone));
+            return;
+        }
+        self.store.remove("evacuations", ZONES[zone].0);
+        self.ledger.note_plan(Plan::Returned(zone));
+    }
+
+    /// Spoils the path of a VM to the store.
+    pub(crate) fn spoil_store_link(&self, vm: usize, fault: LinkFault) {
+        self.links[vm].set(fault);
+    }
+
+    /// Makes the store misbehave.
+    pub(crate) fn spoil_store(&self, fault: StoreFault) {
+        self.store.set_fault(fault);
+    }
+
+    /// Makes the store forget its history.
+    pub(crate) fn compact(&self) {
+        self.store.compact();
+    }
+}
