--- a/crates/adapters/tests/news_contract.rs
+++ b/crates/adapters/tests/news_contract.rs
@@ -10,7 +10,8 @@
 };
 use steer::{
     BoardRules, Body, LoadError, LoadReport, NewsBoard, NewsPeers, NewsQuery, NewsReply, NoMeter,
-    RawNews, RawObject, Router, RouterParts, RouterPorts, SendError, Targets, Vm, VmRecord,
+    NoTracer, RawNews, RawObject, Router, RouterParts, RouterPorts, SendError, Targets, Vm,
+    VmRecord,
 };
 use tokio::time::{Instant, sleep};
 
@@ -37,7 +38,11 @@
 fn router(address: SocketAddr) -> Arc<Router> {
     let parts = RouterParts {
         log: Logger::root(Discard, o!()),
-        ports: RouterPorts { meter: Arc::new(NoMeter), targets: Arc::new(NoTargets) },
+        ports: RouterPorts {
+            meter: Arc::new(NoMeter),
+            targets: Arc::new(NoTargets),
+            tracer: Arc::new(NoTracer),
+        },
         rules: BoardRules::default(),
         vm: VmRecord {
             callers: address,
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -5,8 +5,8 @@
     router_settings::RouterSettings,
 };
 use adapters::{
-    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, RpcPeers,
-    TextMeter, answer_metrics, open_log, serve_fleet,
+    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, OtelTracer,
+    RpcPeers, TextMeter, answer_metrics, open_log, serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
@@ -24,9 +24,9 @@
     time::{Duration, SystemTime},
 };
 use steer::{
-    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, Meter, NewsBoard, Registry,
-    RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm,
-    VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
+    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, Meter, NewsBoard, NoTracer,
+    Registry, RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns,
+    TargetFollower, Vm, VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -122,11 +122,18 @@
     let (vm, state) = Vm::join();
     let pool = ConnectionPool::new();
     let meter = Arc::new(TextMeter::new());
+    let traces = settings.traces.as_ref();
+    let tracer = traces.map(|t| OtelTracer::open(settings.name.as_str(), &t.output, t.ratio));
+    let tracer = tracer.transpose()?.map(Arc::new);
     let parts = RouterParts {
         log: log.clone(),
         ports: RouterPorts {
             meter: Arc::clone(&meter) as _,
             targets: Arc::new(PlatformTargets::new(HttpTargets::new(Arc::clone(&pool)))),
+            tracer: match &tracer {
+                Some(tracer) => Arc::clone(tracer) as _,
+                None => Arc::new(NoTracer),
+            },
         },
         rules: settings.rules(),
         vm: settings.vm(u64::try_from(incarnation)?),
@@ -165,6 +172,13 @@
         warn!(log, "vm: connections cut by the stop"; "connections" => control.connections());
     }
     vm.stop();
+    if let Some(tracer) = tracer {
+        // The spans are written by a task of this thread, which must not wait for it.
+        let closed = tokio::task::spawn_blocking(move || tracer.close());
+        if !matches!(timeout(EXIT_MARGIN / 2, closed).await, Ok(Ok(Ok(())))) {
+            warn!(log, "vm: last spans lost");
+        }
+    }
     info!(log, "vm: stopped");
     Ok(())
 }
--- a/crates/ragwortswitch/src/process_settings.rs
+++ b/crates/ragwortswitch/src/process_settings.rs
@@ -60,7 +60,7 @@
 }
 
 /// Where spans go, and how many.
-#[derive(Debug, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct TraceSettings {
     /// Where spans go.
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -1,5 +1,6 @@
 //! The process settings of a VM on the users' platform, written by its template.
 
+use crate::process_settings::TraceSettings;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
@@ -42,6 +43,9 @@
     pub(crate) seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub(crate) store: SocketAddr,
+    /// Traces; none without it.
+    #[serde(default)]
+    pub(crate) traces: Option<TraceSettings>,
     /// Availability zone of this VM.
     pub(crate) zone: AvailabilityZoneName,
     /// Region of each availability zone.
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -22,6 +22,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const WAIT: Duration = Duration::from_secs(10);
+/// The trace that the caller has begun.
+const TRACE: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
 const WORK: Duration = Duration::from_millis(600);
 
 /// A loopback address that nobody listens at: an IP number of its own for each call, so that no
@@ -72,6 +74,7 @@
         let _ = self.process.kill();
         let _ = self.process.wait();
         let _ = fs::remove_file(&self.file);
+        let _ = fs::remove_file(self.file.with_extension("spans"));
     }
 }
 
@@ -92,14 +95,16 @@
         let store = ObjectStore::default();
         let (store_address, _) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let [callers, directory, metrics, peers, ready] = [(); 5].map(|()| free_address());
+        let file = env::temp_dir().join(format!("router-{test}-{}.jsonc", std::process::id()));
+        let traces = file.with_extension("spans");
         let settings = json!({
             "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
             "cpu_share": 0.2, "directory": directory,
             "grace_s": 6, "max_shift": 0.15, "metrics": metrics, "name": "entry-1", "peers": peers, "ready": ready,
             "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
+            "traces": { "output": { "file": traces }, "ratio": 1 },
             "zones": { "lis-a": "lisboa" },
         });
-        let file = env::temp_dir().join(format!("router-{test}-{}.jsonc", std::process::id()));
         fs::write(&file, format!("// Written by a test.\n{settings}")).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_ragwortswitch"))
             .arg("router")
@@ -115,6 +120,7 @@
 
     async fn ask(&self, address: SocketAddr, path: &str) -> String {
         let request = Request::get(path).header("host", "a.example").header("request-id", "9c41");
+        let request = request.header("traceparent", TRACE);
         let request = request.body(empty_body()).unwrap();
         let Ok(response) = self.pool.send(address, request).await else {
             return "no answer".to_owned();
@@ -201,4 +207,9 @@
         }
     });
     assert_eq!(ended.await.unwrap().code(), Some(0));
+    let spans = fs::read_to_string(world.file.with_extension("spans")).unwrap();
+    let span: Value = serde_json::from_str(spans.lines().last().unwrap()).unwrap();
+    assert_eq!(span["trace"], TRACE[3..35], "the caller's trace goes on");
+    assert_eq!(span["parent"], TRACE[36..52]);
+    assert_eq!(span["notes"]["status"], "200");
 }
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -1,6 +1,9 @@
 //! One request from its arrival to the head of its answer, straight to a target.
 
-use super::{Attempt, AttemptError, Refusal};
+use super::{
+    Attempt, AttemptError, Refusal, TRACE_HEADER,
+    serve_request::{set_header, trace_of},
+};
 use crate::{
     Body, BodyFault, BodyLimits, CallerRequest, ErrorKind, NoSeat, ObjectHash, PlaceQuery,
     RepeatRule, Replay, Route, Router, Seat, SendPass, ServiceName, TargetIdentity, TargetReport,
@@ -31,6 +34,21 @@
 ///
 /// A refusal says by its kind whether the request may have run.
 pub async fn forward_request(
+    router: &Router,
+    caller: &CallerRequest,
+    mut request: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    let mut span = router.ports().tracer.start("forward", trace_of(&request).as_ref());
+    set_header(&mut request, TRACE_HEADER, span.context().map(|context| context.traceparent));
+    let end = route(router, caller, request).await;
+    match &end {
+        Ok(response) => span.note("status", response.status().as_str()),
+        Err(refusal) => span.note("refused", &refusal.kind.slug()),
+    }
+    Ok(end?.map(|body| hold_until_end(body, span)))
+}
+
+async fn route(
     router: &Router,
     caller: &CallerRequest,
     request: Request<Body>,
--- a/crates/steer/src/flows/serve_request.rs
+++ b/crates/steer/src/flows/serve_request.rs
@@ -121,7 +121,8 @@
     told.and_then(Outcome::parse).unwrap_or(Outcome::Unknown)
 }
 
-fn trace_of(request: &Request<Body>) -> Option<TraceContext> {
+/// The trace that a request belongs to.
+pub(super) fn trace_of(request: &Request<Body>) -> Option<TraceContext> {
     let traceparent = request.headers().get(TRACE_HEADER)?.to_str().ok()?.to_owned();
     Some(TraceContext { traceparent })
 }
--- a/crates/steer/src/forwarding/router_parts.rs
+++ b/crates/steer/src/forwarding/router_parts.rs
@@ -1,6 +1,6 @@
 //! What a router is made of.
 
-use crate::{BoardRules, Meter, Targets, VmRecord};
+use crate::{BoardRules, Meter, Targets, Tracer, VmRecord};
 use slog::Logger;
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -11,6 +11,8 @@
     pub meter: Arc<dyn Meter>,
     /// Sends to targets.
     pub targets: Arc<dyn Targets>,
+    /// Traces.
+    pub tracer: Arc<dyn Tracer>,
 }
 
 /// Who the VM is, where it stands and which bounds hold.
--- a/crates/steer/tests/routers/mod.rs
+++ b/crates/steer/tests/routers/mod.rs
@@ -6,8 +6,8 @@
 use slog::{Discard, Logger, o};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 use steer::{
-    BoardRules, Body, LoadError, LoadReport, NoMeter, Router, RouterParts, RouterPorts, SendError,
-    Targets, Vm, VmRecord,
+    BoardRules, Body, LoadError, LoadReport, NoMeter, NoTracer, Router, RouterParts, RouterPorts,
+    SendError, Targets, Vm, VmRecord,
 };
 
 /// Targets that nothing is sent to.
@@ -46,7 +46,7 @@
 pub(crate) fn router_of(vm: VmRecord, targets: Arc<dyn Targets>) -> Router {
     let parts = RouterParts {
         log: Logger::root(Discard, o!()),
-        ports: RouterPorts { meter: Arc::new(NoMeter), targets },
+        ports: RouterPorts { meter: Arc::new(NoMeter), targets, tracer: Arc::new(NoTracer) },
         rules: BoardRules::default(),
         zones: BTreeMap::from([(vm.zone.clone(), vm.region.clone())]),
         vm,
