Sum metrics up beside the statsd meter, and bound callers by descriptors

One meter over cadence serves both outputs. The board takes its lock once for a target's work and for a lost one.

--- a/crates/adapters/src/telemetry/mod.rs
+++ b/crates/adapters/src/telemetry/mod.rs
@@ -1,17 +1,17 @@
 //! Logs by slog, metrics by cadence, traces by OpenTelemetry.
 
 mod log_format;
+mod metric_sums;
 mod metric_table;
 mod metrics_front;
 mod otel_tracer;
 mod span_file;
 mod statsd_meter;
-mod text_meter;
 
 pub use self::{
     log_format::{LogFormat, open_log},
+    metric_sums::MetricSums,
     metrics_front::answer_metrics,
     otel_tracer::{OtelTracer, TraceOutput},
     statsd_meter::StatsdMeter,
-    text_meter::TextMeter,
 };
--- a/crates/adapters/src/telemetry/statsd_meter.rs
+++ b/crates/adapters/src/telemetry/statsd_meter.rs
@@ -1,5 +1,6 @@
-//! Metrics over UDP by cadence.
+//! Metrics by cadence.
 
+use super::MetricSums;
 use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
 use std::{
     fmt::{self, Debug, Formatter},
@@ -9,7 +10,7 @@
 };
 use steer::Meter;
 
-/// Sends metrics to a statsd server.
+/// Sends metrics to a statsd server, or sums them up in the process.
 pub struct StatsdMeter {
     client: StatsdClient,
 }
@@ -36,6 +37,13 @@
         let client = StatsdClient::from_sink(Self::PREFIX, QueuingMetricSink::from(sink));
         Ok(Self { client })
     }
+
+    /// Makes a meter whose metrics are summed up, to be read as text.
+    pub fn summed() -> (Self, MetricSums) {
+        let sums = MetricSums::default();
+        let client = StatsdClient::from_sink(Self::PREFIX, sums.clone());
+        (Self { client }, sums)
+    }
 }
 
 // Metrics are best effort: a failure to send one changes nothing.
--- a/crates/adapters/tests/metrics.rs
+++ b/crates/adapters/tests/metrics.rs
@@ -2,13 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
-use adapters::TextMeter;
+use adapters::StatsdMeter;
 use std::time::Duration;
 use steer::Meter;
 
 #[test]
 fn sums_up_counters_levels_and_times() {
-    let meter = TextMeter::new();
+    let (meter, sums) = StatsdMeter::summed();
     for ms in 1..=100 {
         meter.time("requests.time", Duration::from_millis(ms));
         meter.count("requests.served", 1);
@@ -17,5 +17,5 @@
     meter.gauge("fleet.live", 8);
     meter.gauge("fleet.live", 7);
     meter.time("requests.time", Duration::from_secs(600));
-    insta::assert_snapshot!(meter.text());
+    insta::assert_snapshot!(sums.text());
 }
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -5,8 +5,8 @@
     router_settings::RouterSettings,
 };
 use adapters::{
-    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, OtelTracer,
-    RpcPeers, TextMeter, answer_metrics, open_log, serve_fleet,
+    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat, MetricSums,
+    OtelTracer, RpcPeers, StatsdMeter, answer_metrics, open_log, serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
@@ -24,9 +24,9 @@
     time::{Duration, SystemTime},
 };
 use steer::{
-    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, Meter, NewsBoard, NoTracer,
-    Registry, RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns,
-    TargetFollower, Vm, VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
+    ConfigurationFollower, EvacuationFollower, FollowPace, Follower, NewsBoard, NoTracer, Registry,
+    RelayPace, RelayedSource, Router, RouterParts, RouterPorts, StoreReturns, TargetFollower, Vm,
+    VmFollower, VmRegistry, ask_delegates, follow_registry, greet_fleet,
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -121,14 +121,14 @@
     let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_millis();
     let (vm, state) = Vm::join();
     let pool = ConnectionPool::new();
-    let meter = Arc::new(TextMeter::new());
+    let (meter, sums) = StatsdMeter::summed();
     let traces = settings.traces.as_ref();
     let tracer = traces.map(|t| OtelTracer::open(settings.name.as_str(), &t.output, t.ratio));
     let tracer = tracer.transpose()?.map(Arc::new);
     let parts = RouterParts {
         log: log.clone(),
         ports: RouterPorts {
-            meter: Arc::clone(&meter) as _,
+            meter: Arc::new(meter),
             targets: Arc::new(PlatformTargets::new(HttpTargets::new(Arc::clone(&pool)))),
             tracer: match &tracer {
                 Some(tracer) => Arc::clone(tracer) as _,
@@ -144,7 +144,7 @@
 
     let control = ListenerControl::new();
     listen(&settings, &router, &control).await?;
-    serve_metrics(&settings, &router, meter, control.clone()).await?;
+    serve_metrics(&settings, &router, sums, control.clone()).await?;
     let board = NewsBoard::new();
     let _fleet = serve_fleet(Arc::clone(&router), Arc::clone(&board), settings.peers).await?;
     info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
@@ -190,7 +190,8 @@
     control: &ListenerControl,
 ) -> io::Result<()> {
     let limits = ListenerLimits { head_wait: CALLER_IDLE, ..ListenerLimits::default() };
-    let callers = Listener::bind(settings.callers, limits).await?.controlled(control);
+    let callers = limits.connections(settings.connections());
+    let callers = Listener::bind(settings.callers, callers).await?.controlled(control);
     let directory = Listener::bind(settings.directory, limits).await?;
     let ready = Listener::bind(settings.ready, limits).await?;
     let r = Arc::clone(router);
@@ -217,18 +218,19 @@
 async fn serve_metrics(
     settings: &RouterSettings,
     router: &Arc<Router>,
-    meter: Arc<TextMeter>,
+    sums: MetricSums,
     control: ListenerControl,
 ) -> io::Result<()> {
     let listener = Listener::bind(settings.metrics, ListenerLimits::default()).await?;
     let router = Arc::clone(router);
     tokio::spawn(listener.serve(move |request, _| {
         let version = router.routes().map_or(0, |table| table.version);
+        let meter = &router.ports().meter;
         meter.gauge("callers.connections", control.connections() as u64);
         meter.gauge("fleet.known", router.fleet().known().len() as u64);
         meter.gauge("settings.version", version);
         meter.gauge("targets.known", router.board().names().len() as u64);
-        let answer = answer_metrics(&meter, &request);
+        let answer = answer_metrics(&sums, &request);
         async move { answer }
     }));
     Ok(())
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -20,6 +20,8 @@
     pub(crate) cold_factor: f64,
     /// Part of the cores that this VM may use.
     pub(crate) cpu_share: f64,
+    /// Descriptors that the process may have.
+    pub(crate) descriptors: usize,
     /// Address of the directory.
     pub(crate) directory: SocketAddr,
     /// Seconds between SIGTERM and SIGKILL.
@@ -73,6 +75,15 @@
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
     }
 
+    /// Most connections of callers: half of the descriptors, as each request takes one more
+    /// towards its target.
+    pub(crate) fn connections(&self) -> usize {
+        (self.descriptors.saturating_sub(Self::RESERVED_DESCRIPTORS) / 2).max(1)
+    }
+
+    /// Descriptors for files, the store, other VMs and the other listeners.
+    const RESERVED_DESCRIPTORS: usize = 400;
+
     /// Bounds for cold targets.
     pub(crate) fn rules(&self) -> BoardRules {
         BoardRules {
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -99,7 +99,7 @@
         let traces = file.with_extension("spans");
         let settings = json!({
             "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
-            "cpu_share": 0.2, "directory": directory,
+            "cpu_share": 0.2, "descriptors": 1024, "directory": directory,
             "grace_s": 6, "max_shift": 0.15, "metrics": metrics, "name": "entry-1", "peers": peers, "ready": ready,
             "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
             "traces": { "output": { "file": traces }, "ratio": 1 },
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -118,7 +118,7 @@
             ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), json!(region))).collect();
         let settings = json!({
             "callers": ports.callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
-            "cpu_share": 0.2, "directory": ports.directory, "grace_s": GRACE.as_secs(),
+            "cpu_share": 0.2, "descriptors": 1024, "directory": ports.directory, "grace_s": GRACE.as_secs(),
             "max_shift": 0.15, "metrics": ports.metrics, "name": format!("entry-{vm}"),
             "peers": ports.peers, "ready": ports.ready, "region": region,
             "seeds": [self.ports[0].peers], "store": self.links[vm].address(), "zone": zone,
--- a/crates/steer/src/placement/target_board.rs
+++ b/crates/steer/src/placement/target_board.rs
@@ -54,6 +54,14 @@
     work: BTreeMap<ServiceName, WorkTime>,
 }
 
+impl Inner {
+    /// The target at a place, if that incarnation is still known.
+    fn state(&mut self, place: &Place) -> Option<&mut TargetState> {
+        let state = self.targets.get_mut(&place.service)?.get_mut(&place.name)?;
+        (state.record.born == place.born).then_some(state)
+    }
+}
+
 /// The targets of all services, shared by all requests of this VM.
 ///
 /// ```
@@ -279,9 +287,7 @@
     }
 
     fn with_state(&self, place: &Place, change: impl FnOnce(&mut TargetState)) {
-        let mut inner = self.lock();
-        let state = inner.targets.get_mut(&place.service).and_then(|t| t.get_mut(&place.name));
-        if let Some(state) = state.filter(|state| state.record.born == place.born) {
+        if let Some(state) = self.lock().state(place) {
             change(state);
         }
     }
@@ -292,9 +298,14 @@
 
     /// Takes the time of one request's work at a service.
     pub(super) fn note_work(&self, place: &Place, time: Duration) {
-        self.lock().work.entry(place.service.clone()).or_default().note(time);
-        if let Some(object) = place.object {
-            self.with_state(place, |state| state.warm.note(object, Instant::now()));
+        let mut inner = self.lock();
+        // Services repeat: their names are copied once.
+        match inner.work.get_mut(&place.service) {
+            Some(work) => work.note(time),
+            None => inner.work.entry(place.service.clone()).or_default().note(time),
+        }
+        if let Some((object, state)) = place.object.zip(inner.state(place)) {
+            state.warm.note(object, Instant::now());
         }
     }
 
@@ -308,12 +319,13 @@
     }
 
     pub(super) fn note_lost(&self, place: &Place) {
-        self.lock().disrupted = Some(Instant::now());
-        self.with_state(place, |state| {
-            let now = Instant::now();
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.disrupted = Some(now);
+        if let Some(state) = inner.state(place) {
             state.health.note_lost(now);
             state.chill(now, Self::SUSPICION);
-        });
+        }
     }
 
     pub(super) fn note_gone(&self, place: &Place) {
