Give cold targets nothing before the fleet is known

Change: a VM has no part of a cold target's bound until the registered VMs are listed, some milliseconds after the targets. Test, failing before: a_cold_target_gets_nothing_before_the_fleet_is_known.

--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     leaving: bool,
+    /// The registered VMs were read as a whole.
+    listed: bool,
     members: BTreeMap<VmName, Member>,
     seeds: BTreeSet<SocketAddr>,
     /// Since when this VM does not reach the store.
@@ -170,6 +172,17 @@
         }
     }
 
+    /// Notes that all registered VMs are known.
+    pub fn note_all_listed(&self) {
+        self.lock().listed = true;
+    }
+
+    /// Whether the registered VMs were read since the start: until then this VM does not know with
+    /// how many it shares a bound.
+    pub fn is_listed(&self) -> bool {
+        self.lock().listed
+    }
+
     /// Forgets a VM that is registered no more, unless it is alive.
     pub fn note_unlisted(&self, name: &VmName) {
         let now = Instant::now();
--- a/crates/steer/src/flows/followers.rs
+++ b/crates/steer/src/flows/followers.rs
@@ -237,6 +237,7 @@
 
     fn replace(&self, listing: Listing<VmRecord>) {
         listing.items.into_values().for_each(|vm| self.router.fleet().note_listed(vm));
+        self.router.fleet().note_all_listed();
         self.router.board().set_vms(self.router.fleet().known());
     }
 }
--- a/crates/steer/src/flows/greet_fleet.rs
+++ b/crates/steer/src/flows/greet_fleet.rs
@@ -38,7 +38,9 @@
                 tokio::spawn(greet_vm(router, greeter, peer, state.clone()))
             });
         }
-        router.board().set_vms(router.fleet().known());
+        if router.fleet().is_listed() {
+            router.board().set_vms(router.fleet().known());
+        }
         sleep(PERIOD).await;
     }
 }
--- a/crates/steer/src/placement/start_window.rs
+++ b/crates/steer/src/placement/start_window.rs
@@ -46,7 +46,7 @@
 
 /// Requests within a window that one VM may send to a cold target, of `burst` that all may send.
 ///
-/// Each VM has the same part. Where there are more VMs than requests, those that rank best for the
+/// Each VM has the same part, and none before the fleet is known. Where there are more VMs than requests, those that rank best for the
 /// target have one each.
 pub(super) fn start_share(
     burst: u32,
@@ -54,7 +54,10 @@
     vms: &BTreeSet<VmName>,
     target: &TargetName,
 ) -> u32 {
-    let count = u32::try_from(vms.len().max(1)).unwrap_or(u32::MAX);
+    if vms.is_empty() {
+        return 0;
+    }
+    let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
     if burst >= count {
         return burst / count;
     }
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -15,6 +15,8 @@
 use tokio::time::{Instant, advance};
 
 const RATE: f64 = 8.0;
+/// Refusal of a cold target's bound.
+const COLD: NoSeat = NoSeat::Full(Duration::from_millis(500));
 
 fn board() -> Arc<TargetBoard> {
     board_of("entry-0")
@@ -28,6 +30,7 @@
     let board = TargetBoard::new(vm.into(), here, BTreeMap::from(zones), rules);
     let rules = ServiceRules { cold_rate: RATE, cold_time: Duration::from_secs(3) };
     board.set_rules(&RouteTable::new(1).service("briefs".into(), rules));
+    board.set_vms([vm.into()].into());
     Arc::new(board)
 }
 
@@ -258,3 +261,13 @@
     }
     insta::assert_snapshot!(table);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_cold_target_gets_nothing_before_the_fleet_is_known() {
+    let board = board();
+    board.apply(target("cold", "lis-a").report(1).cold_left(Duration::from_secs(3)));
+    board.set_vms(BTreeSet::new());
+    assert_eq!(board.place(&PlaceQuery::new("briefs")).map(drop), Err(COLD));
+    board.set_vms(["entry-0".into()].into());
+    assert!(board.place(&PlaceQuery::new("briefs")).is_ok());
+}
