Start a VM again that a SIGHUP ended in its first milliseconds

The log of the VM has no line between the stop before and the start after. Change: the soak starts such a process again, as the platform does.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,8 +1,8 @@
 //! One soak from its seed to its verdict.
 
 use crate::{
-    End, Ending, Exit, Fault, LinkFault, Plan, Schedule, Step, Subject, Violation, World,
-    call_for_ever, judge, stand_ins::wait_ready, world::GRACE,
+    End, Ending, Exit, Fault, LinkFault, Plan, Schedule, Step, Subject, Violation, VmProcess,
+    World, call_for_ever, judge, stand_ins::wait_ready, world::GRACE,
 };
 use futures_util::future::join_all;
 use lab::StoreFault;
@@ -122,7 +122,7 @@
             sleep(time).await;
             world.evacuate(zone, false);
         }
-        Fault::HangUp(vm) => world.processes[vm].lock().await.signal("HUP"),
+        Fault::HangUp(vm) => hang_up(world, vm).await,
         Fault::Kill(vm, time) => kill(world, vm, time).await,
         Fault::KillAll(time) => {
             join_all((0..world.processes.len()).map(|vm| kill(world, vm, time))).await;
@@ -160,6 +160,26 @@
     }
 }
 
+/// Sends SIGHUP. A process that has only begun to start may end by it, and is started again, as the
+/// platform does.
+async fn hang_up(world: &World, vm: usize) {
+    let mut process = world.processes[vm].lock().await;
+    let new = process.is_new();
+    process.signal("HUP");
+    if new && process.wait(VmProcess::START).await == Exit::Signal {
+        restart(world, vm, &mut process);
+    }
+}
+
+/// Starts a VM that has ended.
+fn restart(world: &World, vm: usize, process: &mut VmProcess) {
+    let trouble = world.ledger.begin(Subject::Vm(vm));
+    if let Err(error) = process.restart() {
+        world.ledger.note_bad_stop(format!("VM {vm} did not start again: {error}"));
+    }
+    world.ledger.end(trouble);
+}
+
 async fn kill(world: &World, vm: usize, time: Duration) {
     let mut process = world.processes[vm].lock().await;
     let trouble = world.ledger.begin(Subject::Vm(vm));
@@ -181,11 +201,7 @@
         world.ledger.note_bad_stop(format!("VM {vm} after SIGTERM: {exit}"));
         process.kill();
     }
-    let trouble = world.ledger.begin(Subject::Vm(vm));
-    if let Err(error) = process.restart() {
-        world.ledger.note_bad_stop(format!("VM {vm} did not start again: {error}"));
-    }
-    world.ledger.end(trouble);
+    restart(world, vm, &mut process);
 }
 
 /// Drains a target, ends it, and brings it back as a new incarnation.
--- a/crates/soak/src/vm_process.rs
+++ b/crates/soak/src/vm_process.rs
@@ -63,7 +63,7 @@
     }
 
     /// Time in which a process gets from its start to its signal handlers.
-    const START: Duration = Duration::from_millis(300);
+    pub const START: Duration = Duration::from_millis(300);
 
     /// Kills it at once.
     pub fn kill(&mut self) {
