Log why a caller's connection ended and which responses it cut

Change: a listener reports connections that end with an error or with unanswered requests; a response that fails or is dropped midway, and a request that is dropped before its response, have a line each, within the limit on lines about requests.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -1,7 +1,7 @@
 //! HTTP listener with one task per connection.
 
 use super::{
-    ListenerControl, ListenerPhase,
+    ConnectionEnd, EndObserver, ListenerControl, ListenerPhase,
     read_ahead_stream::{PipelinedRequest, ReadAhead, ReadAheadStream},
     to_body,
     write_timeout::WriteTimeout,
@@ -17,6 +17,7 @@
 };
 use std::{
     convert::Infallible,
+    error::Error,
     fmt::{self, Debug, Formatter},
     future::poll_fn,
     io,
@@ -24,7 +25,7 @@
     pin::pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -88,6 +89,7 @@
 /// A bound listening socket with its limits.
 pub struct Listener {
     control: ListenerControl,
+    ends: Option<EndObserver>,
     early: Option<EarlyStartFilter>,
     limits: ListenerLimits,
     socket: TcpListener,
@@ -107,7 +109,8 @@
     /// If the address can't be bound.
     pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Self> {
         let control = ListenerControl::new();
-        Ok(Self { control, early: None, limits, socket: TcpListener::bind(address).await? })
+        let socket = TcpListener::bind(address).await?;
+        Ok(Self { control, early: None, ends: None, limits, socket })
     }
 
     /// Sets the control that drains and closes the connections. Several listeners may share it.
@@ -123,6 +126,12 @@
         self
     }
 
+    /// Reports connections that end with an error or with unanswered requests.
+    pub fn with_end_observer(mut self, observer: EndObserver) -> Self {
+        self.ends = Some(observer);
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -145,10 +154,14 @@
             match self.socket.accept().await {
                 Ok((stream, caller)) => {
                     let (handler, limits) = (handler.clone(), self.limits);
-                    let early = self.early.clone();
+                    let (early, ends) = (self.early.clone(), self.ends.clone());
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
-                        serve_connection(stream, caller, handler, limits, phase, early).await;
+                        let end =
+                            serve_connection(stream, caller, handler, limits, phase, early).await;
+                        if let Some((end, observer)) = end.zip(ends) {
+                            observer(&end);
+                        }
                         drop(permit);
                     });
                 }
@@ -159,6 +172,7 @@
     }
 }
 
+/// Serves a connection until it ends. Returns its end if requests were left unanswered or it failed.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     caller: SocketAddr,
@@ -166,13 +180,14 @@
     limits: ListenerLimits,
     mut phase: watch::Receiver<ListenerPhase>,
     early: Option<EarlyStartFilter>,
-) where
+) -> Option<ConnectionEnd>
+where
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let closing = *phase.borrow_and_update() == ListenerPhase::Closing;
     if closing || stream.set_nodelay(true).is_err() {
-        return;
+        return None;
     }
     let http2 = Arc::new(AtomicBool::new(false));
     let is_http2 = Arc::clone(&http2);
@@ -187,17 +202,24 @@
         })
     };
     let (pipelined, serve) = (stream.clone(), handler.clone());
+    let busy = Arc::new(AtomicUsize::new(0));
+    let in_progress = Arc::clone(&busy);
     let service = service_fn(move |request: Request<Incoming>| {
         is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
         let (pipelined, serve) = (pipelined.pop_pipelined(), serve.clone());
+        let busy = Arc::clone(&in_progress);
         async move {
+            busy.fetch_add(1, Ordering::Relaxed);
             if let PipelinedRequest::Started(head, response) = pipelined
                 && is_same(&head, &request)
                 && let Ok(response) = response.await
             {
+                busy.fetch_sub(1, Ordering::Relaxed);
                 return Ok::<_, Infallible>(response);
             }
-            Ok(serve(request.map(to_body), caller).await)
+            let response = serve(request.map(to_body), caller).await;
+            busy.fetch_sub(1, Ordering::Relaxed);
+            Ok(response)
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
@@ -211,15 +233,20 @@
     // A connection error ends this connection only; the handler sees it as an error of the request
     // body.
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
+    let end = |error: Option<String>| {
+        let unanswered = busy.load(Ordering::Relaxed) + stream.started();
+        let notable = error.is_some() || unanswered > 0;
+        notable.then_some(ConnectionEnd { caller, error, unanswered })
+    };
     loop {
         tokio::select! {
             biased;
-            _ended = connection.as_mut() => return,
+            ended = connection.as_mut() => return end(ended.err().map(|error| describe(&*error))),
             read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
                 ReadAhead::Data => continue,
                 // The caller closed the connection; returning drops its requests and so cancels
                 // them at their targets.
-                ReadAhead::Eof => return,
+                ReadAhead::Eof => return end(None),
             },
             Ok(()) = phase.changed() => {}
         }
@@ -231,6 +258,17 @@
     }
 }
 
+/// Describes an error with its causes.
+fn describe(error: &(dyn Error + Send + Sync)) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
+
 /// Buffers a small body, because the target could close its connection while the response waits
 /// behind an earlier one. If the body fails, the returned body yields the same error.
 async fn buffer_small_body(response: Response<Body>) -> Response<Body> {
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP on top of hyper: client connections, listeners, headers and bodies.
 
+mod connection_end;
 mod connection_pool;
 mod hop_headers;
 mod http_targets;
@@ -11,6 +12,7 @@
 mod write_timeout;
 
 pub use self::{
+    connection_end::{ConnectionEnd, EndObserver},
     connection_pool::ConnectionPool,
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -100,6 +100,13 @@
         self.state.lock().expect("no thread panics while it holds the stream")
     }
 
+    /// Returns the number of requests that were started early and that hyper hasn't read yet.
+    pub(super) fn started(&self) -> usize {
+        let state = self.lock();
+        let is_started = |p: &&PipelinedRequest<T>| matches!(p, PipelinedRequest::Started(..));
+        state.pipelined.iter().filter(is_started).count()
+    }
+
     /// Removes and returns the pipelined request that hyper has just read.
     pub(super) fn pop_pipelined(&self) -> PipelinedRequest<T> {
         self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -5,8 +5,9 @@
     router_settings::RouterSettings,
 };
 use adapters::{
-    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat,
-    MetricAggregator, OtelTracer, RpcPeers, StatsdMeter, handle_metrics, open_log, serve_fleet,
+    ConnectionEnd, ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits,
+    LogFormat, MetricAggregator, OtelTracer, RpcPeers, StatsdMeter, handle_metrics, open_log,
+    serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
@@ -200,6 +201,8 @@
     let r = Arc::clone(router);
     let callers = callers.with_early_start(Arc::new(move |head| may_start_early(&r, head)));
     let r = Arc::clone(router);
+    let callers = callers.with_end_observer(Arc::new(move |end| log_connection_end(&r, end)));
+    let r = Arc::clone(router);
     tokio::spawn(callers.serve(move |request, _| {
         let router = Arc::clone(&r);
         async move { handle_request(&router, request).await }
@@ -217,6 +220,12 @@
     Ok(())
 }
 
+fn log_connection_end(router: &Router, end: &ConnectionEnd) {
+    let Some(dropped) = router.try_acquire_log_line() else { return };
+    info!(router.log(), "callers: connection ended early"; "caller" => %end.caller,
+        "error" => end.error.as_deref(), "unanswered" => end.unanswered, "dropped" => dropped);
+}
+
 /// Starts the metrics listener; gauges are updated on each request.
 async fn serve_metrics(
     settings: &RouterSettings,
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Attempt, AttemptError, Refusal, TRACE_HEADER,
+    delivered_body::log_delivery,
     serve_request::{set_header, trace_of},
 };
 use crate::{
@@ -72,7 +73,9 @@
     router.record_request(service);
     let forward =
         Forward { arrived, caller, fault, route, router, service, until, version: table.version };
+    let mut pending = PendingRequest { ended: false, forward: &forward };
     let result = forward.run(request).await;
+    pending.ended = true;
     forward.count_result(&result);
     forward.log_result(&result);
     result
@@ -117,6 +120,20 @@
     version: u64,
 }
 
+/// Logs a request that is dropped before it has a response, because its caller's connection ended.
+struct PendingRequest<'a> {
+    ended: bool,
+    forward: &'a Forward<'a>,
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.forward.log_abandoned();
+        }
+    }
+}
+
 /// Provides the request for each attempt.
 enum RequestSource {
     /// The request is buffered and can be sent any number of times.
@@ -228,7 +245,11 @@
     /// Passes a response on until the request's deadline, and keeps the guard until the body ends.
     fn finish(&self, response: Response<Body>, guard: PlacementGuard) -> Response<Body> {
         let limits = BodyLimits::with_deadline(self.until);
-        response.map(|body| hold_until_end(limit_body(body, limits, &BodyFault::default()), guard))
+        let id = &self.caller.id;
+        response.map(|body| {
+            let body = limit_body(body, limits, &BodyFault::default());
+            hold_until_end(log_delivery(body, id, self.router.request_log()), guard)
+        })
     }
 
     fn may_retry(&self) -> bool {
@@ -327,6 +348,14 @@
             "after_ms" => self.elapsed_ms(), "reason" => %reason, "dropped" => dropped);
     }
 
+    fn log_abandoned(&self) {
+        self.router.ports().meter.count("requests.abandoned", 1);
+        let Some(dropped) = self.router.try_acquire_log_line() else { return };
+        info!(self.router.log(), "request: abandoned"; "id" => &*self.caller.id,
+            "route" => %self.route.name, "service" => %self.service, "version" => self.version,
+            "after_ms" => self.elapsed_ms(), "dropped" => dropped);
+    }
+
     fn count_result(&self, result: &Result<Response<Body>, Refusal>) {
         let meter = &self.router.ports().meter;
         let name = match result {
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod backoff;
 mod call;
+mod delivered_body;
 mod exchange_with_peer;
 mod follow_registry;
 mod followers;
--- a/crates/steer/src/forwarding/mod.rs
+++ b/crates/steer/src/forwarding/mod.rs
@@ -2,12 +2,14 @@
 
 mod caller_request;
 mod log_budget;
+mod request_log;
 mod router;
 mod router_parts;
 
 pub use self::{
     caller_request::CallerRequest,
     log_budget::LogBudget,
+    request_log::RequestLog,
     router::Router,
     router_parts::{RouterParts, RouterPorts},
 };
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -1,13 +1,13 @@
 //! Shared state of an entry VM that sends directly to targets.
 
-use super::{LogBudget, RouterParts, RouterPorts};
+use super::{RequestLog, RouterParts, RouterPorts};
 use crate::{FleetView, RetryBudget, RouteTable, ServiceName, TargetTable, VmState};
 use slog::{Logger, info};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, RwLock},
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 /// Active routes, targets, fleet view and ports of one entry VM.
 #[derive(Debug)]
@@ -15,17 +15,13 @@
     table: Arc<TargetTable>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     fleet: FleetView,
-    log: Logger,
-    log_budget: Mutex<LogBudget>,
+    log: RequestLog,
     ports: RouterPorts,
     routes: RwLock<Option<Arc<RouteTable>>>,
     state: watch::Receiver<VmState>,
 }
 
 impl Router {
-    /// Maximum number of log lines about requests per second; the rest are only counted.
-    const MAX_LINES_PER_SECOND: u32 = 40;
-
     /// Creates the state of a VM that has no configuration yet.
     pub fn new(parts: RouterParts, state: watch::Receiver<VmState>) -> Self {
         let location = (parts.vm.zone.clone(), parts.vm.region.clone());
@@ -38,8 +34,7 @@
             )),
             budgets: Mutex::default(),
             fleet: FleetView::new(parts.vm),
-            log: parts.log,
-            log_budget: Mutex::new(LogBudget::new(Self::MAX_LINES_PER_SECOND)),
+            log: RequestLog::new(parts.log, Arc::clone(&parts.ports.meter)),
             ports: parts.ports,
             routes: RwLock::default(),
             state,
@@ -58,18 +53,18 @@
 
     /// Returns the log.
     pub fn log(&self) -> &Logger {
+        self.log.log()
+    }
+
+    /// Returns the log for lines about requests.
+    pub fn request_log(&self) -> &RequestLog {
         &self.log
     }
 
     /// Counts a line about a request against the log budget. Returns how many lines were dropped
     /// before it, or `None` if the budget is used up.
     pub fn try_acquire_log_line(&self) -> Option<u64> {
-        let mut budget = self.log_budget.lock().expect("no holder of the log budget's lock panics");
-        let dropped = budget.try_acquire(Instant::now());
-        if dropped.is_none() {
-            self.ports.meter.count("log.dropped", 1);
-        }
-        dropped
+        self.log.try_acquire_line()
     }
 
     /// Returns the ports.
@@ -103,7 +98,7 @@
         let (version, count) = (table.version, table.len());
         self.table.set_rules(&table);
         *routes = Some(Arc::new(table));
-        info!(self.log, "settings: version in force";
+        info!(self.log(), "settings: version in force";
             "version" => version, "before" => active, "routes" => count);
         true
     }
