Read small responses whole before their head is passed on

Callers saw a read that its target had run end without an answer, or a POST whose answer was ready at its timeout end with a closed connection (LOST). Cause: the head went on before the body had arrived. A body that then broke off, stalled to the deadline, or was ready but read after the deadline (the limit on a body looked at its timer before its data) left only a cut. The cut took along the answers that waited behind it on the connection. Change: forward_request reads bodies of up to 64 KiB whole, also those without a length unless they go on for 100 ms. What has arrived by the deadline is delivered. What fails leaves an attempt that may have run: a read is sent elsewhere within attempts and budget, all else is answered 502 or 504, and the connection stays. The listener's copy of the reading is gone; a waiting response whose body fails there is replaced by a 502.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -6,10 +6,7 @@
     to_body,
     write_timeout::WriteTimeout,
 };
-use futures_util::stream::iter;
-use http::{Request, Response, Version};
-use http_body::Body as _;
-use http_body_util::{BodyExt, StreamBody};
+use http::{Request, Response, StatusCode, Version};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -29,15 +26,17 @@
     },
     time::Duration,
 };
-use steer::{Body, empty_body, full_body};
+use steer::{Body, buffer_small_body, empty_body};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    time::Instant,
 };
 use tokio_util::task::AbortOnDropHandle;
 
-/// Largest body in bytes of a response that is buffered while it waits for its turn.
-const MAX_BUFFERED_BODY: u64 = 64 << 10;
+/// Time for which the body of a response that waits for its turn may take to arrive; longer than any
+/// deadline of a request.
+const MAX_BODY_WAIT: Duration = Duration::from_secs(3600);
 
 /// Returns whether a pipelined request may be started while an earlier one is being processed.
 pub type EarlyStartFilter = Arc<dyn Fn(&Request<()>) -> bool + Send + Sync>;
@@ -198,7 +197,7 @@
         let request = head.clone().map(|()| empty_body());
         allowed.then(|| {
             let response = handler(request, caller);
-            AbortOnDropHandle::new(tokio::spawn(async { buffer_small_body(response.await).await }))
+            AbortOnDropHandle::new(tokio::spawn(async { read_waiting_body(response.await).await }))
         })
     };
     let (pipelined, serve) = (stream.clone(), handler.clone());
@@ -269,19 +268,15 @@
     text
 }
 
-/// Buffers a small body, because the target could close its connection while the response waits
-/// behind an earlier one. If the body fails, the returned body yields the same error.
-async fn buffer_small_body(response: Response<Body>) -> Response<Body> {
-    let length = response.body().size_hint().upper();
-    if length.is_none_or(|length| length > MAX_BUFFERED_BODY) {
-        return response;
-    }
-    let (head, body) = response.into_parts();
-    let body = match body.collect().await {
-        Ok(collected) => full_body(collected.to_bytes()),
-        Err(error) => StreamBody::new(iter([Err(error)])).boxed_unsync(),
-    };
-    Response::from_parts(head, body)
+/// Reads a small body, because the target could close its connection while the response waits
+/// behind an earlier one. No part of the response has been written yet, so one whose body fails is
+/// replaced; passing it on would end the connection and the responses behind it.
+async fn read_waiting_body(response: Response<Body>) -> Response<Body> {
+    buffer_small_body(response, Instant::now() + MAX_BODY_WAIT).await.unwrap_or_else(|_| {
+        let mut response = Response::new(empty_body());
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+        response
+    })
 }
 
 /// Returns whether a request that was started early equals the one that hyper has read.
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -8,7 +8,8 @@
 use crate::{
     Body, BodyFault, BodyLimits, BufferedRequest, CallerRequest, ErrorKind, ObjectHash,
     PlacementError, PlacementGuard, PlacementQuery, RepeatRule, Route, Router, SendPermit,
-    ServiceName, TargetIdentity, TargetOutcome, TargetReport, bound_body, hold_until_end,
+    ServiceName, SmallBodyError, TargetIdentity, TargetOutcome, TargetReport, bound_body,
+    buffer_small_body, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
 use http_body::Body as _;
@@ -242,14 +243,10 @@
         Err(last.unwrap_or_else(|| ErrorKind::NoRoom.into()))
     }
 
-    /// Passes a response on until the request's deadline, and keeps the guard until the body ends.
+    /// Passes a response on, and keeps the guard until the body ends.
     fn finish(&self, response: Response<Body>, guard: PlacementGuard) -> Response<Body> {
-        let limits = BodyLimits::with_deadline(self.until);
-        let id = &self.caller.id;
-        response.map(|body| {
-            let body = limit_body(body, limits, &BodyFault::default());
-            hold_until_end(log_delivery(body, id, self.router.request_log()), guard)
-        })
+        let (id, log) = (&self.caller.id, self.router.request_log());
+        response.map(|body| hold_until_end(log_delivery(body, id, log), guard))
     }
 
     fn may_retry(&self) -> bool {
@@ -289,7 +286,15 @@
         let attempt = Attempt::new(request).clear(permit);
         let outcome = attempt.send(&*self.router.ports().targets, target.address, remaining).await;
         match outcome {
-            Ok(answered) => self.classify_response(guard, answered.into_response()),
+            Ok(answered) => match self.classify_response(guard, answered.into_response()) {
+                AttemptResult::Answered(response) => {
+                    self.read_small_body(guard, response, AttemptResult::Answered).await
+                }
+                AttemptResult::Failed(response) => {
+                    self.read_small_body(guard, response, AttemptResult::Failed).await
+                }
+                other => other,
+            },
             Err(AttemptError::NotSent(attempt, reason)) => {
                 guard.record_lost();
                 self.log_failed_attempt(guard, &reason);
@@ -312,6 +317,29 @@
         }
     }
 
+    /// Reads a small body before the head of its response is passed on. Once the head is written, a
+    /// body that fails ends the caller's connection and the responses that wait behind it.
+    async fn read_small_body(
+        &self,
+        guard: &PlacementGuard,
+        response: Response<Body>,
+        pass_on: fn(Response<Body>) -> AttemptResult,
+    ) -> AttemptResult {
+        let error = match buffer_small_body(response, self.until).await {
+            Ok(response) => return pass_on(response),
+            Err(error) => error,
+        };
+        self.log_failed_attempt(guard, &error);
+        let kind = match error {
+            SmallBodyError::Broken(_) => {
+                guard.record_lost();
+                ErrorKind::AnswerCut
+            }
+            SmallBodyError::Late => ErrorKind::DeadlinePassed,
+        };
+        AttemptResult::Lost(Refusal::new(kind, error.to_string()))
+    }
+
     fn classify_response(&self, guard: &PlacementGuard, response: Response<Body>) -> AttemptResult {
         let report = response.extensions().get::<TargetReport>().copied();
         let (load, outcome) = report.map_or((None, TargetOutcome::Ran), |r| (r.load, r.outcome));
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod bounded_body;
+mod buffered_response;
 mod clock;
 mod meter;
 mod object_source;
@@ -17,6 +18,7 @@
 pub use self::{
     body::{Body, BodyError, empty_body, full_body, hold_until_end},
     bounded_body::{BodyFault, BodyLimits, bound_body},
+    buffered_response::{SmallBodyError, buffer_small_body},
     clock::{Clock, SystemClock},
     meter::{Meter, NoMeter},
     object_source::{
