--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -56,7 +56,9 @@
 struct SizedBody(Body);
 
 impl SizedBody {
-    fn new(frame: impl Future<Output = Result<Frame<Bytes>, BodyError>> + Send + 'static) -> Body {
+    fn boxed(
+        frame: impl Future<Output = Result<Frame<Bytes>, BodyError>> + Send + 'static,
+    ) -> Body {
         Self(StreamBody::new(once(frame)).boxed_unsync()).boxed_unsync()
     }
 }
@@ -112,12 +114,12 @@
             }
             TargetBehavior::AnswerBroken => {
                 let error = BodyError { reason: "connection reset".to_owned() };
-                Ok(respond(200, TargetOutcome::Ran).map(|_| SizedBody::new(async { Err(error) })))
+                Ok(respond(200, TargetOutcome::Ran).map(|_| SizedBody::boxed(async { Err(error) })))
             }
             TargetBehavior::AnswerInTime => {
                 let arrival = sleep(ROUTE_TIMEOUT);
                 Ok(respond(200, TargetOutcome::Ran).map(|_| {
-                    SizedBody::new(async {
+                    SizedBody::boxed(async {
                         arrival.await;
                         Ok(Frame::data(Bytes::from_static(b"done")))
                     })
