--- a/scripts/check_style.py
+++ b/scripts/check_style.py
@@ -15,7 +15,7 @@
 STRUCT = re.compile(r"^(?:pub(?:\([a-z]+\))? )?struct \w+.*\{$")
 FORBIDDEN = re.compile(r"\b(HashMap|HashSet)\b")
 WIRE_NAMES = re.compile(
-    r"response-stamp|expect-instance|server-load|affinity-key|deadline-ms\b|/-/|"
+    r"response-stamp|expect-instance|server-load|server-leaving|affinity-key|deadline-ms\b|/-/|"
     r"target_latency_s|cold_remaining_s|cold_per_s|seq_no|path_prefix|home_regions", re.IGNORECASE)
 WIRE_HOMES = ("platform", "crates/lab/src/stand_ins", "crates/soak/src/stand_ins",
               "crates/steer/src/flows/call.rs")
