Close connections whose response makes no progress

Callers saw their deadline pass while a target sent bytes that are no response, and the VM went on reading them.

Cause: the parser drops interim responses, leading zeros and spaces of a chunk size as it reads them, so the limit of its buffer never applied to them, and the buffer's own limit was the library's default of about 400 KB a connection. A connection was closed by dropping its sender, which the library notices only when it can read no more.

A load report of a target has at most 16 KiB.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -1,10 +1,9 @@
 //! Pool of HTTP/1.1 client connections to targets, peers and the platform.
 
-use super::{pooled_body::PooledBody, to_body};
+use super::{pooled_body::PooledBody, pooled_connection::PooledConnection, to_body};
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use std::{
     collections::BTreeMap,
     fmt::{self, Debug, Formatter},
@@ -18,7 +17,7 @@
     time::{Instant, timeout},
 };
 
-type IdleConnections = BTreeMap<SocketAddr, Vec<(SendRequest<Body>, Instant)>>;
+type IdleConnections = BTreeMap<SocketAddr, Vec<(PooledConnection, Instant)>>;
 
 /// Reuses idle connections, each for one request at a time. A connection is closed instead of being
 /// reused if its response failed or wasn't read to its end.
@@ -97,7 +96,7 @@
                 Ok(connection) => connection,
                 Err(reason) => return Err(SendError::not_sent(reason, request)),
             };
-            match connection.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => return Ok(self.to_pooled_response(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => request = unsent,
@@ -113,8 +112,8 @@
     fn to_pooled_response(
         self: &Arc<Self>,
         address: SocketAddr,
-        connection: SendRequest<Body>,
-        response: Response<hyper::body::Incoming>,
+        connection: PooledConnection,
+        response: Response<Incoming>,
     ) -> Response<Body> {
         response.map(|incoming| {
             let body = PooledBody {
@@ -127,15 +126,15 @@
         })
     }
 
-    pub(super) fn check_in(&self, address: SocketAddr, connection: SendRequest<Body>) {
+    pub(super) fn check_in(&self, address: SocketAddr, connection: PooledConnection) {
         self.lock().entry(address).or_default().push((connection, Instant::now()));
     }
 
     /// Returns an idle connection or opens a new one; the flag is true for a reused connection.
-    async fn check_out(&self, address: SocketAddr) -> Result<(SendRequest<Body>, bool), String> {
+    async fn check_out(&self, address: SocketAddr) -> Result<(PooledConnection, bool), String> {
         while let Some(mut connection) = self.pop_idle(address) {
             let ready = timeout(Self::READY_TIMEOUT, connection.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
+            if ready == Ok(true) {
                 return Ok((connection, true));
             }
         }
@@ -144,15 +143,11 @@
             .map_err(|_| "connect timed out".to_owned())?
             .map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-        // Drives the connection until it closes. The pending request receives any error, so the
-        // result of the task isn't needed.
-        tokio::spawn(connection);
-        Ok((sender, false))
+        let connection = PooledConnection::open(stream).await.map_err(|e| e.to_string())?;
+        Ok((connection, false))
     }
 
-    fn pop_idle(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    fn pop_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         connections.retain(|(c, since)| !c.is_closed() && since.elapsed() < Self::IDLE_LIMIT);
--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -3,7 +3,7 @@
 use super::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use std::{net::SocketAddr, sync::Arc};
 use steer::{Body, LoadError, LoadReport, SendError, Targets, empty_body};
@@ -27,6 +27,9 @@
     /// Path of a target's load report.
     pub const LOAD_PATH: &'static str = "/.well-known/load";
 
+    /// Largest size of a load report in bytes.
+    pub const MAX_LOAD_BYTES: usize = 16 << 10;
+
     /// Creates the adapter on a connection pool.
     ///
     /// ```
@@ -62,8 +65,8 @@
             .map_err(|_| failed("the address is not a valid Host header".into()))?;
         request.headers_mut().insert(http::header::HOST, host);
         let response = self.pool.send(target, request).await.map_err(|e| failed(e.to_string()))?;
-        let bytes =
-            response.into_body().collect().await.map_err(|e| failed(e.to_string()))?.to_bytes();
+        let body = Limited::new(response.into_body(), Self::MAX_LOAD_BYTES);
+        let bytes = body.collect().await.map_err(|e| failed(e.to_string()))?.to_bytes();
         let load: WireLoad = serde_json::from_slice(&bytes).map_err(|e| failed(e.to_string()))?;
         Ok(LoadReport { busy: load.busy, leaving: load.leaving, queued: load.queued })
     }
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -8,7 +8,9 @@
 mod listener;
 mod listener_control;
 mod pooled_body;
+mod pooled_connection;
 mod read_ahead_stream;
+mod read_limit;
 mod write_timeout;
 
 pub use self::{
--- a/crates/adapters/src/http/pooled_body.rs
+++ b/crates/adapters/src/http/pooled_body.rs
@@ -1,9 +1,8 @@
 //! Response body that returns its connection to the pool once it is read to its end.
 
-use super::ConnectionPool;
+use super::{ConnectionPool, pooled_connection::PooledConnection};
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::client::conn::http1::SendRequest;
 use std::{
     net::SocketAddr,
     pin::Pin,
@@ -17,7 +16,7 @@
 /// bytes would be parsed as the response to the next request.
 pub(super) struct PooledBody {
     pub(super) address: SocketAddr,
-    pub(super) connection: Option<SendRequest<Body>>,
+    pub(super) connection: Option<PooledConnection>,
     pub(super) inner: Body,
     pub(super) pool: Arc<ConnectionPool>,
 }
@@ -32,7 +31,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
         match &frame {
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => self.connection.iter().for_each(PooledConnection::record_progress),
             Some(Err(_)) => self.connection = None,
             None => self.check_in(),
         }
--- /dev/null
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -0,0 +1,70 @@
+//! Client connection that carries one request at a time.
+
+use super::read_limit::{LimitedStream, ReadProgress};
+use http::{Request, Response};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{Builder, SendRequest},
+    },
+};
+use hyper_util::rt::TokioIo;
+use steer::Body;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+/// Largest number of headers of a response.
+const MAX_HEADERS: usize = 100;
+/// Largest size in bytes of the head of a response, and of the parser's buffer.
+const MAX_HEAD: usize = 64 << 10;
+
+/// A connection with the task that drives it. Dropping it closes the socket at once, even if the
+/// server sends nothing or doesn't stop sending.
+#[derive(Debug)]
+pub(super) struct PooledConnection {
+    progress: ReadProgress,
+    sender: SendRequest<Body>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl PooledConnection {
+    /// Starts HTTP/1.1 on a connected stream.
+    pub(super) async fn open(stream: TcpStream) -> hyper::Result<Self> {
+        let progress = ReadProgress::default();
+        let stream = LimitedStream::new(stream, progress.clone());
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_HEAD)
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        // The pending request receives any error, so the result isn't needed.
+        let task = tokio::spawn(async { drop(connection.await) });
+        Ok(Self { progress, sender, _task: AbortOnDropHandle::new(task) })
+    }
+
+    /// Sends a request and waits for the head of its response.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.progress.reset();
+        let response = self.sender.try_send_request(request).await;
+        self.progress.reset();
+        response
+    }
+
+    /// Waits until the connection can carry a request; returns `false` if it has closed.
+    pub(super) async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Records that a part of the response's body has been taken.
+    pub(super) fn record_progress(&self) {
+        self.progress.reset();
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
