Believe a target's response only if it bears the request's id

Callers were told "not run, try again" for requests that a target had run, and an unsafe request ran at a second target, when a target wrote an earlier refusal once more on a kept connection.

Cause: a response with another id was rejected, but one without an id was trusted, and so was a 503 or 429 that doesn't state that the request was not run, and a switch of protocols (101). The connection of a rejected response with an empty body went back to the pool, so the true response came next on it.

Change: the check runs on the head, before the connection can be kept. The connection of a rejected response is closed. A connection isn't reused for a request with the id of the one before on it.

Why it works: what can't be told from a copy of an earlier response is an unknown outcome: 502 for an unsafe request, a retry for an idempotent one.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -1,7 +1,11 @@
 //! Pool of HTTP/1.1 client connections to targets, peers and the platform.
 
-use super::{pooled_body::PooledBody, pooled_connection::PooledConnection, to_body};
-use http::{Request, Response};
+use super::{
+    pooled_body::PooledBody,
+    pooled_connection::{ExchangeId, PooledConnection},
+    to_body,
+};
+use http::{Request, Response, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::{
@@ -87,17 +91,42 @@
     /// [`SendError::NotSent`] if no byte of the request was sent; the error contains the request.
     /// [`SendError::Sent`] if the request may have reached the server.
     pub async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.send_checked(address, request, |_| Ok(())).await
+    }
+
+    /// Sends a request like [`Self::send`], and accepts the response only if `check` does. The
+    /// connection of a rejected response is closed, because the true response may follow on it.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::send`], and [`SendError::Sent`] for a response that `check` rejects.
+    pub async fn send_checked(
         self: &Arc<Self>,
         address: SocketAddr,
         mut request: Request<Body>,
+        check: impl FnOnce(&Parts) -> Result<(), &'static str>,
     ) -> Result<Response<Body>, SendError> {
+        let id = request.extensions().get::<ExchangeId>().cloned();
         loop {
-            let (mut connection, reused) = match self.check_out(address).await {
+            let (mut connection, reused) = match self.check_out(address, id.as_ref()).await {
                 Ok(connection) => connection,
                 Err(reason) => return Err(SendError::not_sent(reason, request)),
             };
-            match connection.send(request).await {
-                Ok(response) => return Ok(self.to_pooled_response(address, connection, response)),
+            match connection.send(request, id.clone()).await {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    // The parser skips all interim responses but a switch of protocols.
+                    if head.status.is_informational() {
+                        return Err(SendError::sent("the server switched protocols"));
+                    }
+                    check(&head).map_err(SendError::sent)?;
+                    let response = Response::from_parts(head, body);
+                    return Ok(self.to_pooled_response(address, connection, response));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(unsent) => {
@@ -131,10 +160,14 @@
     }
 
     /// Returns an idle connection or opens a new one; the flag is true for a reused connection.
-    async fn check_out(&self, address: SocketAddr) -> Result<(PooledConnection, bool), String> {
+    async fn check_out(
+        &self,
+        address: SocketAddr,
+        id: Option<&ExchangeId>,
+    ) -> Result<(PooledConnection, bool), String> {
         while let Some(mut connection) = self.pop_idle(address) {
             let ready = timeout(Self::READY_TIMEOUT, connection.ready()).await;
-            if ready == Ok(true) {
+            if ready == Ok(true) && connection.may_carry(id) {
                 return Ok((connection, true));
             }
         }
--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -2,7 +2,7 @@
 
 use super::{ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
-use http::{Request, Response};
+use http::{Request, Response, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use std::{net::SocketAddr, sync::Arc};
@@ -39,21 +39,36 @@
     pub fn new(pool: Arc<ConnectionPool>) -> Self {
         Self { pool }
     }
-}
 
-#[async_trait]
-impl Targets for HttpTargets {
-    async fn send(
+    /// Sends a request, and accepts the response only if `check` does. The connection of a rejected
+    /// response is closed.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`ConnectionPool::send_checked`].
+    pub async fn send_checked(
         &self,
         target: SocketAddr,
         mut request: Request<Body>,
+        check: impl FnOnce(&Parts) -> Result<(), &'static str>,
     ) -> Result<Response<Body>, SendError> {
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
-        let mut response = self.pool.send(target, request).await?;
+        let mut response = self.pool.send_checked(target, request, check).await?;
         strip_hop_headers(response.headers_mut());
         Ok(response)
     }
+}
+
+#[async_trait]
+impl Targets for HttpTargets {
+    async fn send(
+        &self,
+        target: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.send_checked(target, request, |_| Ok(())).await
+    }
 
     async fn read_load(&self, target: SocketAddr) -> Result<LoadReport, LoadError> {
         let failed = |reason: String| LoadError { reason };
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -21,4 +21,5 @@
     incoming_body::to_body,
     listener::{EarlyStartFilter, Listener, ListenerLimits},
     listener_control::{ListenerControl, ListenerPhase},
+    pooled_connection::ExchangeId,
 };
--- a/crates/adapters/src/http/pooled_connection.rs
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -1,7 +1,7 @@
 //! Client connection that carries one request at a time.
 
 use super::read_limit::{LimitedStream, ReadProgress};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::{
     body::Incoming,
     client::conn::{
@@ -19,10 +19,32 @@
 /// Largest size in bytes of the head of a response, and of the parser's buffer.
 const MAX_HEAD: usize = 64 << 10;
 
+/// Id by which the response to a request is recognized; an extension of the request. A connection
+/// isn't reused for a request with the same id as the one before, because a second copy of the
+/// earlier response could not be told from the response to the new request.
+///
+/// ```
+/// let mut request = http::Request::new(());
+/// let id = http::HeaderValue::from_static("7");
+/// request.extensions_mut().insert(adapters::ExchangeId::new(id));
+/// assert!(request.extensions().get::<adapters::ExchangeId>().is_some());
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExchangeId(HeaderValue);
+
+impl ExchangeId {
+    /// Creates an id from the value of the header that servers echo.
+    pub fn new(value: HeaderValue) -> Self {
+        Self(value)
+    }
+}
+
 /// A connection with the task that drives it. Dropping it closes the socket at once, even if the
 /// server sends nothing or doesn't stop sending.
 #[derive(Debug)]
 pub(super) struct PooledConnection {
+    /// Id of the latest request.
+    latest: Option<ExchangeId>,
     progress: ReadProgress,
     sender: SendRequest<Body>,
     _task: AbortOnDropHandle<()>,
@@ -40,14 +62,16 @@
             .await?;
         // The pending request receives any error, so the result isn't needed.
         let task = tokio::spawn(async { drop(connection.await) });
-        Ok(Self { progress, sender, _task: AbortOnDropHandle::new(task) })
+        Ok(Self { latest: None, progress, sender, _task: AbortOnDropHandle::new(task) })
     }
 
     /// Sends a request and waits for the head of its response.
     pub(super) async fn send(
         &mut self,
         request: Request<Body>,
+        id: Option<ExchangeId>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.latest = id;
         self.progress.reset();
         let response = self.sender.try_send_request(request).await;
         self.progress.reset();
@@ -59,6 +83,11 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns whether a request with this id may be sent.
+    pub(super) fn may_carry(&self, id: Option<&ExchangeId>) -> bool {
+        id.is_none() || self.latest.as_ref() != id
+    }
+
     /// Records that a part of the response's body has been taken.
     pub(super) fn record_progress(&self) {
         self.progress.reset();
