Reset an HTTP/1.0 caller's connection if its response breaks off

An HTTP/1.0 caller got a short body that looked complete, when a target broke off in a large body.

Cause: HTTP/1.0 has no chunks, so a body of unknown length ends with the connection; after an error the connection was closed in order, like after a complete body.

Heads and small bodies are cut at every byte, with a length, in chunks and without framing, by a close and by a reset: each cut gives a 502. That held before the change, too: the head's end is needed before anything is passed on, and bodies of up to 64 KiB are read whole. A body without framing is complete wherever an orderly close ends it, as the protocol has it.

Only connections whose latest request is HTTP/1.0 are reset, because a reset discards earlier responses that the caller hasn't read yet.

--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -107,6 +107,11 @@
         state.pipelined.iter().filter(is_started).count()
     }
 
+    /// Ends the connection with a reset when it is dropped.
+    pub(super) fn reset_on_close(&self) {
+        self.lock().stream.reset_on_close();
+    }
+
     /// Removes and returns the pipelined request that hyper has just read.
     pub(super) fn pop_pipelined(&self) -> PipelinedRequest<T> {
         self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
--- a/crates/adapters/src/http/write_timeout.rs
+++ b/crates/adapters/src/http/write_timeout.rs
@@ -26,6 +26,12 @@
         Self { inner, timer: None, timeout }
     }
 
+    /// Ends the connection with a reset when it is dropped, so that a body that broke off doesn't
+    /// look complete. If the option can't be set, the connection has failed already.
+    pub(super) fn reset_on_close(&self) {
+        let _failed = self.inner.set_zero_linger();
+    }
+
     fn check_timeout<T>(
         &mut self,
         cx: &mut Context<'_>,
