--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -34,6 +34,8 @@
 
 /// Bytes of a message besides its parameters or result: JSON-RPC envelope and WebSocket header.
 pub(super) const FRAME_OVERHEAD_BYTES: usize = 56;
+/// Largest reply of a peer in bytes; replies with settings or updates have several pages of the store.
+const MAX_REPLY_BYTES: u32 = 10 << 20;
 /// Timeout for connecting to a peer, and for each of its replies.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -75,6 +77,7 @@
         let url = Url::parse(&format!("ws://{peer}")).map_err(|e| unreachable(e.to_string()))?;
         let (sender, receiver) = WsTransportClientBuilder::default()
             .connection_timeout(PEER_TIMEOUT)
+            .max_response_size(MAX_REPLY_BYTES)
             .build(url)
             .await
             .map_err(|e| unreachable(e.to_string()))?;
