--- a/crates/adapters/tests/target_contract.rs
+++ b/crates/adapters/tests/target_contract.rs
@@ -21,6 +21,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::oneshot,
+    time::timeout,
 };
 
 const COMPLETE_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour";
@@ -219,6 +220,8 @@
 /// socket buffers.
 const MAX_BUFFERED: usize = 24 << 20;
 const UPLOAD: usize = 128 << 20;
+/// Timeout for a load report that must fail.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[tokio::test]
 async fn reads_an_upload_no_faster_than_the_target() {
@@ -290,3 +293,26 @@
     let bytes = wait_received.await.unwrap();
     assert!(!bytes.ends_with("0\r\n\r\n"), "the body looks complete to the target: {bytes}");
 }
+
+/// A load report without end is an error, and the rest of it isn't read.
+#[tokio::test]
+async fn a_load_report_without_end_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let (packet, mut taken) = (vec![b' '; 64 << 10], 0);
+        while stream.write_all(&packet).await.is_ok() {
+            taken += packet.len();
+        }
+        taken
+    });
+    let targets = HttpTargets::new(ConnectionPool::new());
+    let report = timeout(REPORT_TIMEOUT, targets.read_load(address)).await;
+    assert!(report.unwrap().is_err());
+    let taken = target.await.unwrap();
+    assert!(taken < MAX_BUFFERED, "{taken} bytes were taken");
+}
