--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -8,7 +8,9 @@
 mod listener;
 mod listener_control;
 mod pooled_body;
+mod pooled_connection;
 mod read_ahead_stream;
+mod read_limit;
 mod write_timeout;
 
 pub use self::{
@@ -19,4 +21,5 @@
     incoming_body::to_body,
     listener::{EarlyStartFilter, Listener, ListenerLimits},
     listener_control::{ListenerControl, ListenerPhase},
+    pooled_connection::ExchangeId,
 };
