Send nothing to a target whose answer says that it leaves

Callers saw requests that reached targets which had already said in an answer that they leave.

Cause: the header was not read, so a leaving target was known from its registration alone. What a VM believed of a target also ended with each new registration, and was asked in several places. TargetState::admit is the one place that decides whether a target may get a request; each belief has its source and time. A 421 marks the registrations at its address.

Property: 400 series of events by quickcheck, no request past its bound.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -6,15 +6,15 @@
     serve_request::{set_header, trace_of},
 };
 use crate::{
-    Body, BodyFault, BodyLimits, BufferedRequest, CallerRequest, ErrorKind, ObjectHash,
-    PlacementError, PlacementGuard, PlacementQuery, RepeatRule, Route, Router, SendPermit,
-    ServiceName, SmallBodyError, TargetIdentity, TargetOutcome, TargetReport, bound_body,
-    buffer_small_body, hold_until_end,
+    BeliefSource, Body, BodyFault, BodyLimits, BufferedRequest, CallerRequest, ErrorKind,
+    ObjectHash, Outcome, PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RepeatRule,
+    Route, Router, SendPermit, ServiceName, SmallBodyError, TargetIdentity, TargetOutcome,
+    TargetReport, bound_body, buffer_small_body, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
 use http_body::Body as _;
 use slog::info;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,6 +25,11 @@
 /// Minimum retry time given to a caller: a fraction of a request's usual processing time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Fraction of the time until the first target returns over which callers' retries are spread.
+const RETURN_SPREAD: f64 = 0.2;
+/// Maximum time over which callers' retries are spread.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
+
 /// Share of a route's latency objective that a request may wait at a target. A request that waits
 /// longer misses the objective and delays the requests behind it.
 const MAX_WAIT_SHARE: f64 = 0.5;
@@ -202,8 +207,12 @@
         while let Some(request) = source.take() {
             let guard = match self.router.target_table().place_request(&query) {
                 Ok(guard) => guard,
-                Err(reason) => return Err(last.unwrap_or_else(|| self.refuse_no_room(reason))),
+                Err(reason) => {
+                    let refusal = last.unwrap_or_else(|| self.refuse_no_room(&reason));
+                    return Err(self.await_return(refusal, query));
+                }
             };
+            self.log_return(&guard);
             query.excluded.insert(guard.target().name.clone());
             let refusal = match self.try_target(&guard, request).await {
                 AttemptResult::Answered(response) => {
@@ -236,7 +245,7 @@
             };
             sent += 1;
             if sent >= self.route.attempts.max(1) || source.is_empty() || !self.may_retry() {
-                return Err(refusal);
+                return Err(self.await_return(refusal, query));
             }
             last = Some(refusal);
         }
@@ -259,14 +268,29 @@
         acquired
     }
 
-    fn refuse_no_room(&self, reason: PlacementError) -> Refusal {
-        let wait = match reason {
-            PlacementError::Full(wait) => wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-            PlacementError::NoTarget => MAX_RETRY_AFTER,
+    fn refuse_no_room(&self, reason: &PlacementError) -> Refusal {
+        let (cause, wait) = match reason {
+            PlacementError::Full(wait) => ("full", (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+            PlacementError::NoTarget => ("none", MAX_RETRY_AFTER),
+            PlacementError::Paused { wait, .. } => ("paused", *wait),
         };
+        self.router.ports().meter.count(&format!("placement.refused.{cause}"), 1);
         Refusal::new(ErrorKind::NoRoom, reason.to_string()).retry_after(wait)
     }
 
+    /// Replaces the retry time of a request that did not run if all targets pause, also those that
+    /// were tried: callers return after the first pause, spread over some time.
+    fn await_return(&self, refusal: Refusal, query: PlacementQuery) -> Refusal {
+        if refusal.answer().outcome != Outcome::NotRun {
+            return refusal;
+        }
+        let query = PlacementQuery { excluded: BTreeSet::new(), ..query };
+        let Some(wait) = self.router.target_table().first_return(&query) else { return refusal };
+        let spread = wait.mul_f64(RETURN_SPREAD).min(MAX_RETURN_SPREAD);
+        let position = xxh3_64(self.caller.id.as_bytes()) as f64 / u64::MAX as f64;
+        refusal.retry_after(wait + spread.mul_f64(position))
+    }
+
     /// Sends the request to a target and evaluates the head of the response.
     async fn try_target(
         &self,
@@ -342,10 +366,11 @@
 
     fn classify_response(&self, guard: &PlacementGuard, response: Response<Body>) -> AttemptResult {
         let report = response.extensions().get::<TargetReport>().copied();
-        let (load, outcome) = report.map_or((None, TargetOutcome::Ran), |r| (r.load, r.outcome));
+        let report = report.unwrap_or_else(|| TargetReport::new(TargetOutcome::Ran));
         let failed = response.status().is_server_error();
-        guard.record_response(load, failed);
-        match outcome {
+        guard.record_response(report.load, failed);
+        self.record_availability(guard, &report);
+        match report.outcome {
             TargetOutcome::Ran if failed => AttemptResult::Failed(response),
             TargetOutcome::Ran => {
                 guard.record_work();
@@ -367,6 +392,44 @@
         }
     }
 
+    /// Applies what a target says about its availability, and logs what is news.
+    fn record_availability(&self, guard: &PlacementGuard, report: &TargetReport) {
+        if report.leaving && guard.record_leaving(report.outcome) {
+            self.log_availability("target leaves", "leaving", guard, None);
+        }
+        let Some(pause) = report.pause else { return };
+        if let Some(time) = guard.record_pause(pause) {
+            let name = match pause {
+                PauseRequest::For(_) => "paused",
+                PauseRequest::Unclear => "paused_unclear",
+            };
+            self.log_availability("target pauses", name, guard, Some(time));
+        }
+    }
+
+    fn log_return(&self, guard: &PlacementGuard) {
+        if let Some(pause) = guard.ended_pause() {
+            let time = pause.since.elapsed();
+            self.log_availability("target returns", "returned", guard, Some(time));
+        }
+    }
+
+    fn log_availability(
+        &self,
+        text: &str,
+        counter: &str,
+        guard: &PlacementGuard,
+        time: Option<Duration>,
+    ) {
+        self.router.ports().meter.count(&format!("placement.{counter}"), 1);
+        let Some(dropped) = self.router.try_acquire_log_line() else { return };
+        let target = guard.target();
+        let time = time.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+        info!(self.router.log(), "placement: {text}"; "target" => %target.name,
+            "born" => target.born, "source" => %BeliefSource::Response, "for_ms" => time,
+            "id" => &*self.caller.id, "dropped" => dropped);
+    }
+
     fn log_failed_attempt(&self, guard: &PlacementGuard, reason: &impl std::fmt::Display) {
         self.router.ports().meter.count("attempts.failed", 1);
         let Some(dropped) = self.router.try_acquire_log_line() else { return };
--- a/crates/steer/src/placement/placement_error.rs
+++ b/crates/steer/src/placement/placement_error.rs
@@ -1,5 +1,6 @@
 //! Errors of target selection.
 
+use crate::TargetName;
 use derive_more::Display;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 /// ```
 /// assert_eq!(steer::PlacementError::NoTarget.to_string(), "the service has no usable target");
 /// ```
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum PlacementError {
     /// Every usable target has reached its limit on new work; capacity may be free after this time.
     #[display("every target of the service is full for {} ms more", _0.as_millis())]
@@ -16,4 +17,12 @@
     /// The service has no usable target.
     #[display("the service has no usable target")]
     NoTarget,
+    /// Every usable target asked for a pause.
+    #[display("every target of the service pauses, {target} for {} ms more", wait.as_millis())]
+    Paused {
+        /// The target that returns first.
+        target: TargetName,
+        /// Time until it returns.
+        wait: Duration,
+    },
 }
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -1,7 +1,10 @@
 //! Accounting of a request at its target.
 
-use super::{LoadSample, TargetRecord, TargetTable, target_table::TargetKey};
-use std::sync::Arc;
+use super::{
+    Belief, LoadSample, PauseRequest, TargetOutcome, TargetRecord, TargetTable,
+    target_table::TargetKey,
+};
+use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// RAII guard that counts a request against its target's load until it is dropped.
@@ -12,6 +15,7 @@
     /// Requests at the target on arrival, this one included, divided by its slots; at least 1.
     oversubscription: f64,
     key: TargetKey,
+    returned: Option<Belief>,
     target: TargetRecord,
 }
 
@@ -22,7 +26,17 @@
         target: TargetRecord,
         oversubscription: f64,
     ) -> Self {
-        Self { started: Instant::now(), table, oversubscription, key, target }
+        Self { started: Instant::now(), table, oversubscription, key, returned: None, target }
+    }
+
+    pub(super) fn returned(mut self, pause: Option<Belief>) -> Self {
+        self.returned = pause;
+        self
+    }
+
+    /// Returns the pause that has just ended, if this is the first request after it.
+    pub fn ended_pause(&self) -> Option<Belief> {
+        self.returned
     }
 
     /// Returns the selected target.
@@ -47,6 +61,22 @@
         self.table.record_response(&self.key, load, failed);
     }
 
+    /// Records that the response says that its target leaves; returns whether that is news. The
+    /// incarnation gets no more requests from this VM. If another target responded, that one leaves,
+    /// and the address serves neither of them.
+    pub fn record_leaving(&self, outcome: TargetOutcome) -> bool {
+        if outcome == TargetOutcome::Misdirected {
+            self.table.record_address_leaving(self.target.address);
+        }
+        self.table.record_leaving(&self.key)
+    }
+
+    /// Records that the target refused the request and asked for a pause. Returns the length of the
+    /// pause if one starts.
+    pub fn record_pause(&self, pause: PauseRequest) -> Option<Duration> {
+        self.table.record_pause(&self.key, pause)
+    }
+
     /// Records that the connection could not be established or was lost before a response.
     pub fn record_lost(&self) {
         self.table.record_lost(&self.key);
--- a/crates/steer/src/placement/target_health.rs
+++ b/crates/steer/src/placement/target_health.rs
@@ -1,5 +1,6 @@
 //! Failures of a target as observed by this VM.
 
+use super::{Belief, BeliefSource};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -11,14 +12,15 @@
 /// use tokio::time::Instant;
 /// let (mut health, now) = (TargetHealth::default(), Instant::now());
 /// health.record_lost(now);
-/// assert!(health.is_paused(now));
-/// assert!(!health.is_paused(now + TargetHealth::LONGEST_PAUSE));
+/// assert!(health.back_off(now).is_some());
+/// assert!(health.back_off(now + TargetHealth::LONGEST_PAUSE).is_none());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct TargetHealth {
+    /// The cause of the back-off and its end.
+    back_off: Option<(Belief, Instant)>,
     failure_rate: f64,
     lost_connections: u32,
-    paused_until: Option<Instant>,
 }
 
 impl TargetHealth {
@@ -32,7 +34,7 @@
     /// Records a response and whether it was a failure.
     pub fn record_answer(&mut self, failed: bool) {
         self.lost_connections = 0;
-        self.paused_until = None;
+        self.back_off = None;
         self.update_failure_rate(failed);
     }
 
@@ -41,7 +43,8 @@
         let pause =
             (Self::FIRST_PAUSE * (1 << self.lost_connections.min(4))).min(Self::LONGEST_PAUSE);
         self.lost_connections += 1;
-        self.paused_until = Some(now + pause);
+        let belief = Belief::new(BeliefSource::Connection, now);
+        self.back_off = Some((belief, now + pause));
         self.update_failure_rate(true);
     }
 
@@ -50,9 +53,19 @@
         self.failure_rate += (sample - self.failure_rate) * Self::WEIGHT;
     }
 
-    /// Returns whether the target is in backoff after failed connections.
-    pub fn is_paused(&self, now: Instant) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+    /// Records a refusal that named no usable time. Returns the length of the backoff if one starts.
+    pub fn record_refused(&mut self, now: Instant) -> Option<Duration> {
+        if self.back_off(now).is_some() {
+            return None;
+        }
+        let belief = Belief::new(BeliefSource::Response, now);
+        self.back_off = Some((belief, now + Self::FIRST_PAUSE));
+        Some(Self::FIRST_PAUSE)
+    }
+
+    /// Returns what the backoff is based on and its end, if the target is in one.
+    pub fn back_off(&self, now: Instant) -> Option<(Belief, Instant)> {
+        self.back_off.filter(|(_, until)| now < *until)
     }
 
     /// Returns the moving average of the failure rate, from 0 to 1.
--- a/crates/steer/src/placement/target_report.rs
+++ b/crates/steer/src/placement/target_report.rs
@@ -27,13 +27,38 @@
     Ran,
 }
 
+/// Time for which a target that refused a request wants no more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PauseRequest {
+    /// The time from the response on.
+    For(Duration),
+    /// The target named a time that can't be used.
+    Unclear,
+}
+
 /// Response extension with metadata from the target.
+///
+/// ```
+/// use steer::{TargetOutcome, TargetReport};
+/// assert!(!TargetReport::new(TargetOutcome::Ran).leaving);
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetReport {
+    /// Whether the target leaves and wants no new requests.
+    pub leaving: bool,
     /// Load of the target, if it was reported.
     pub load: Option<LoadSample>,
     /// Outcome of the request.
     pub outcome: TargetOutcome,
+    /// Pause that the target asked for with its refusal.
+    pub pause: Option<PauseRequest>,
+}
+
+impl TargetReport {
+    /// Creates a report without a load, of a target that serves.
+    pub fn new(outcome: TargetOutcome) -> Self {
+        Self { leaving: false, load: None, outcome, pause: None }
+    }
 }
 
 /// Request extension with the intended target and the remaining time budget.
--- a/crates/steer/src/placement/target_state.rs
+++ b/crates/steer/src/placement/target_state.rs
@@ -1,19 +1,19 @@
 //! This VM's state for a target.
 
-use super::{CachedObjects, Distance, SendWindow, TargetHealth, TargetLoad, TargetRecord};
-use crate::RegionName;
-use std::time::Duration;
+use super::{
+    Admission, Belief, BeliefSource, CachedObjects, Distance, Hold, HoldCause, PlacementQuery,
+    SendWindow, TargetAccess, TargetLoad, TargetRecord,
+};
+use crate::{AvailabilityZoneName, RegionName};
+use std::collections::BTreeMap;
 use tokio::time::Instant;
 
-/// A target with its load, health and limits.
+/// A target with its load and what this VM believes of it.
 #[derive(Clone, Debug)]
 pub(super) struct TargetState {
-    pub(super) cold_until: Option<Instant>,
+    pub(super) access: TargetAccess,
     pub(super) distance: Distance,
-    pub(super) health: TargetHealth,
     pub(super) load: TargetLoad,
-    /// A different target responded at its address.
-    pub(super) misdirected: bool,
     pub(super) record: TargetRecord,
     pub(super) region: RegionName,
     pub(super) sends: SendWindow,
@@ -23,11 +23,9 @@
 impl TargetState {
     pub(super) fn new(record: TargetRecord, region: RegionName, distance: Distance) -> Self {
         Self {
-            cold_until: None,
+            access: TargetAccess::default(),
             distance,
-            health: TargetHealth::default(),
             load: TargetLoad::default(),
-            misdirected: false,
             record,
             region,
             sends: SendWindow::default(),
@@ -35,16 +33,30 @@
         }
     }
 
-    /// Limits new work for `time`, as after a start; never shortens an earlier limit.
-    pub(super) fn mark_cold(&mut self, now: Instant, time: Duration) {
-        let until = now + time;
-        if time > Duration::ZERO && self.cold_until.is_none_or(|cold| cold < until) {
-            self.cold_until = Some(until);
+    /// Returns whether the request itself permits this target.
+    pub(super) fn matches(&self, query: &PlacementQuery) -> bool {
+        !query.excluded.contains(&self.record.name)
+            && (query.homes.is_empty() || query.homes.contains(&self.region))
+    }
+
+    /// Decides whether the target may get a request now: the only place that does.
+    pub(super) fn admit(
+        &self,
+        now: Instant,
+        evacuated: &BTreeMap<AvailabilityZoneName, Instant>,
+        quota: impl FnOnce() -> u32,
+    ) -> Result<Admission, Hold> {
+        if let Some(since) = evacuated.get(&self.record.zone) {
+            let belief = Belief::new(BeliefSource::Evacuation, *since);
+            return Err(Hold { belief, cause: HoldCause::Evacuated, until: None });
         }
+        self.access.admit(now, self.load.own(), || self.sends.has_room(now, quota()))
     }
 
-    pub(super) fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
+    /// Counts an admitted request.
+    pub(super) fn begin(&mut self, _admission: Admission, now: Instant) {
+        self.load.begin();
+        self.sends.record(now);
     }
 
     /// Returns the requests at the target, one more included, divided by its slots; at least 1.
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -1,14 +1,17 @@
 //! State of all targets in the fleet, and selection among them.
 
 use super::{
-    Distance, LoadSample, ObjectHash, PlacementError, PlacementGuard, PlacementQuery, ShiftGuard,
-    TargetRecord, WorkTime, send_window::send_quota, target_state::TargetState,
+    Admission, BeliefSource, Distance, LoadSample, ObjectHash, PauseRequest, PlacementError,
+    PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord, WorkTime,
+    hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
+    target_state::TargetState,
 };
 use crate::{
     AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName, VmName,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -46,7 +49,9 @@
 struct TargetTableState {
     /// Time of the last target loss or change of the evacuated zones.
     disrupted: Option<Instant>,
-    evacuated: BTreeSet<AvailabilityZoneName>,
+    /// Evacuated zones, with the time of the news.
+    evacuated: BTreeMap<AvailabilityZoneName, Instant>,
+    retired: RetiredTargets,
     rules: BTreeMap<ServiceName, ServiceRules>,
     shift: ShiftGuard,
     targets: BTreeMap<ServiceName, BTreeMap<TargetName, TargetState>>,
@@ -61,6 +66,30 @@
         let state = self.targets.get_mut(&key.service)?.get_mut(&key.name)?;
         (state.record.born == key.born).then_some(state)
     }
+
+    /// Changes what is believed of an incarnation, also of one that isn't registered at present.
+    fn with_access<T>(
+        &mut self,
+        key: &TargetKey,
+        change: impl FnOnce(&mut TargetAccess) -> T,
+    ) -> T {
+        if let Some(state) = self.state(key) {
+            return change(&mut state.access);
+        }
+        let mut access = self.retired.take(&key.name, key.born).unwrap_or_default();
+        let result = change(&mut access);
+        self.retired.keep(&key.name, key.born, access);
+        result
+    }
+
+    /// Removes the registrations of a target.
+    fn remove(&mut self, name: &TargetName) {
+        for targets in self.targets.values_mut() {
+            if let Some(TargetState { access, record, .. }) = targets.remove(name) {
+                self.retired.keep(name, record.born, access);
+            }
+        }
+    }
 }
 
 /// The targets of all services, shared by all requests on this VM.
@@ -107,7 +136,7 @@
     /// enforced.
     const DISRUPTION_TIME: Duration = Duration::from_secs(4);
     /// Retry delay reported when all remaining targets are cold and have used up their quota.
-    const COLD_RETRY_DELAY: Duration = Duration::from_millis(500);
+    pub(super) const COLD_RETRY_DELAY: Duration = Duration::from_millis(500);
     /// Time for which a target is treated as cold after its connection failed.
     const SUSPECT_TIME: Duration = Duration::from_secs(3);
 
@@ -120,7 +149,8 @@
     ) -> Self {
         let inner = TargetTableState {
             disrupted: None,
-            evacuated: BTreeSet::new(),
+            evacuated: BTreeMap::new(),
+            retired: RetiredTargets::default(),
             rules: BTreeMap::new(),
             shift: ShiftGuard::new(rules.max_shift * Self::SHIFT_MARGIN),
             targets: BTreeMap::new(),
@@ -138,40 +168,39 @@
     pub fn apply(&self, record: TargetRecord) {
         let now = Instant::now();
         let mut inner = self.lock();
-        for (service, targets) in &mut inner.targets {
-            if *service != record.service {
-                targets.remove(&record.name);
-            }
-        }
-        let targets = inner.targets.entry(record.service.clone()).or_default();
-        let cold_left = record.cold_left;
-        match targets.get_mut(&record.name) {
+        let inner = &mut *inner;
+        let current = inner.targets.get_mut(&record.service).and_then(|t| t.get_mut(&record.name));
+        let mut cold_left = record.cold_left;
+        let state = match current {
             Some(state) if state.record.born == record.born => {
-                state.misdirected = false;
-                if record.is_newer_than(&state.record) {
-                    state.mark_cold(now, cold_left);
+                if !record.is_newer_than(&state.record) {
+                    cold_left = Duration::ZERO;
                 }
                 state.record = record;
+                state
             }
             _ => {
+                inner.remove(&record.name);
                 let region = self.zones.get(&record.zone).cloned().unwrap_or_default();
                 let distance =
                     Distance::between(&self.here, &(record.zone.clone(), region.clone()));
-                let name = record.name.clone();
+                let access = inner.retired.take(&record.name, record.born);
+                let (name, service) = (record.name.clone(), record.service.clone());
                 let mut state = TargetState::new(record, region, distance);
-                state.mark_cold(now, cold_left);
-                targets.insert(name, state);
+                state.access = access.unwrap_or_default();
+                let targets = inner.targets.entry(service).or_default();
+                targets.entry(name).insert_entry(state).into_mut()
             }
-        }
+        };
+        state.access.record_registration(now, state.record.leaving);
+        state.access.record_cold(BeliefSource::Registration, now, cold_left);
     }
 
     /// Removes a target.
     pub fn remove(&self, name: &TargetName) {
         let mut inner = self.lock();
         inner.disrupted = Some(Instant::now());
-        for targets in inner.targets.values_mut() {
-            targets.remove(name);
-        }
+        inner.remove(name);
     }
 
     /// Returns the names of all targets.
@@ -198,14 +227,17 @@
             let cold = inner.rules.get(service).map_or(Duration::ZERO, |rules| rules.cold_time);
             for state in targets.values_mut() {
                 let zone = &state.record.zone;
-                let returned = inner.evacuated.contains(zone) && !zones.contains(zone);
+                let returned = inner.evacuated.contains_key(zone) && !zones.contains(zone);
                 if returned {
-                    state.mark_cold(now, cold);
+                    state.access.record_cold(BeliefSource::Evacuation, now, cold);
                 }
             }
         }
         inner.disrupted = Some(now);
-        inner.evacuated = zones;
+        inner.evacuated.retain(|zone, _| zones.contains(zone));
+        for zone in zones {
+            inner.evacuated.entry(zone).or_insert(now);
+        }
     }
 
     /// Selects the best target for a request and counts the request against its load.
@@ -233,27 +265,35 @@
         // Without an object, each VM uses its own ranking, so that VMs without load information
         // do not all select the same target.
         let order = query.object.unwrap_or_else(|| ObjectHash::new("", name.as_str().as_bytes()));
-        let mut usable: Vec<(f64, &mut TargetState)> = targets
+        let mut holds = HoldSummary::default();
+        let mut usable: Vec<(f64, Admission, &mut TargetState)> = targets
             .values_mut()
-            .filter(|state| is_usable(state, query, &inner.evacuated, now))
-            .map(|state| (order.rank(state.record.name.as_str()), state))
+            .filter(|state| state.matches(query))
+            .filter_map(|state| {
+                let quota = || send_quota(burst, name, vms, &state.record.name);
+                match state.admit(now, &inner.evacuated, quota) {
+                    Ok(admission) => {
+                        Some((order.rank(state.record.name.as_str()), admission, state))
+                    }
+                    Err(hold) => {
+                        holds.add(&state.record.name, hold);
+                        None
+                    }
+                }
+            })
             .collect();
         if usable.is_empty() {
-            return Err(PlacementError::NoTarget);
+            return Err(holds.into_error(now));
         }
-        usable.retain(|(_, state)| {
-            let quota = || send_quota(burst, name, vms, &state.record.name);
-            !state.is_cold(now) || state.sends.has_room(now, quota())
-        });
-        if usable.iter().any(|(_, state)| !at_limit.contains(&state.region)) {
-            usable.retain(|(_, state)| !at_limit.contains(&state.region));
+        if usable.iter().any(|(_, _, state)| !at_limit.contains(&state.region)) {
+            usable.retain(|(_, _, state)| !at_limit.contains(&state.region));
         }
-        usable.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        usable.sort_by(|(a, ..), (b, ..)| a.total_cmp(b));
         if query.object.is_some() && !query.streamed {
             usable.truncate(Self::REPLICAS);
         }
         let mut ranks: BTreeMap<Distance, usize> = BTreeMap::new();
-        let costs = usable.into_iter().map(|(_, state)| {
+        let costs = usable.into_iter().map(|(_, admission, state)| {
             // The replicas of a large body are ranked per distance, because a nearby one is
             // preferred.
             let near = if query.streamed { state.distance } else { Distance::Zone };
@@ -261,7 +301,7 @@
             let wait = state.wait(now, work);
             let cost = wait + cost(state, query, *rank, work, now);
             *rank = (*rank + 1).min(Self::REPLICAS);
-            (cost, wait, state)
+            (cost, wait, admission, state)
         });
         // A large body may go to any target that accepts it in time. Other requests wait for a
         // target that has the object cached, because an uncached run uses the capacity of
@@ -269,16 +309,16 @@
         let max_wait = query.max_wait.as_secs_f64();
         let late = |wait: f64| query.streamed && wait > max_wait;
         let best = costs
-            .min_by(|(a, x, _), (b, y, _)| late(*x).cmp(&late(*y)).then_with(|| a.total_cmp(b)));
-        let Some((_, wait, state)) = best else {
+            .min_by(|(a, x, ..), (b, y, ..)| late(*x).cmp(&late(*y)).then_with(|| a.total_cmp(b)));
+        let Some((_, wait, admission, state)) = best else {
             return Err(PlacementError::Full(Self::COLD_RETRY_DELAY));
         };
         if wait > max_wait {
             return Err(PlacementError::Full(Duration::from_secs_f64(wait - max_wait)));
         }
         let oversubscription = state.oversubscription(now);
-        state.load.begin();
-        state.sends.record(now);
+        let returned = state.access.take_return(now);
+        state.begin(admission, now);
         inner.shift.record(&state.region, now);
         let key = TargetKey {
             born: state.record.born,
@@ -286,7 +326,25 @@
             object: query.object,
             service: query.service.clone(),
         };
-        Ok(PlacementGuard::new(Arc::clone(self), key, state.record.clone(), oversubscription))
+        Ok(PlacementGuard::new(Arc::clone(self), key, state.record.clone(), oversubscription)
+            .returned(returned))
+    }
+
+    /// Returns the time until the first target returns, if all targets that a request may use pause.
+    pub fn first_return(&self, query: &PlacementQuery) -> Option<Duration> {
+        let now = Instant::now();
+        let inner = self.lock();
+        let mut holds = HoldSummary::default();
+        for state in inner.targets.get(&query.service)?.values().filter(|s| s.matches(query)) {
+            match state.admit(now, &inner.evacuated, || u32::MAX) {
+                Ok(_) => return None,
+                Err(hold) => holds.add(&state.record.name, hold),
+            }
+        }
+        match holds.into_error(now) {
+            PlacementError::Paused { wait, .. } => Some(wait),
+            PlacementError::Full(_) | PlacementError::NoTarget => None,
+        }
     }
 
     /// Returns how many requests per window the fleet may send to a cold target of a service.
@@ -319,43 +377,50 @@
     }
 
     pub(super) fn record_response(&self, key: &TargetKey, load: Option<LoadSample>, failed: bool) {
+        let now = Instant::now();
         self.with_state(key, |state| {
-            state.health.record_answer(failed);
+            state.access.record_response(now, failed);
             if let Some(sample) = load {
-                state.load.report(Instant::now(), sample);
+                state.load.report(now, sample);
             }
         });
     }
 
+    pub(super) fn record_leaving(&self, key: &TargetKey) -> bool {
+        self.lock().with_access(key, |access| access.record_leaving(Instant::now()))
+    }
+
+    /// Records that the target which has an address leaves.
+    pub(super) fn record_address_leaving(&self, address: SocketAddr) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let states = inner.targets.values_mut().flat_map(BTreeMap::values_mut);
+        for state in states.filter(|state| state.record.address == address) {
+            state.access.record_leaving(now);
+        }
+    }
+
+    pub(super) fn record_pause(&self, key: &TargetKey, pause: PauseRequest) -> Option<Duration> {
+        let order = ObjectHash::new("pause", self.name.as_str().as_bytes());
+        let jitter = order.rank(key.name.as_str());
+        self.lock().with_access(key, |access| access.record_pause(Instant::now(), pause, jitter))
+    }
+
     pub(super) fn record_lost(&self, key: &TargetKey) {
         let now = Instant::now();
         let mut inner = self.lock();
         inner.disrupted = Some(now);
         if let Some(state) = inner.state(key) {
-            state.health.record_lost(now);
-            state.mark_cold(now, Self::SUSPECT_TIME);
+            state.access.record_lost(now);
+            state.access.record_cold(BeliefSource::Connection, now, Self::SUSPECT_TIME);
         }
     }
 
     pub(super) fn record_misdirected(&self, key: &TargetKey) {
-        self.with_state(key, |state| state.misdirected = true);
+        self.with_state(key, |state| state.access.record_misdirected(Instant::now()));
     }
 }
 
-fn is_usable(
-    state: &TargetState,
-    query: &PlacementQuery,
-    evacuated: &BTreeSet<AvailabilityZoneName>,
-    now: Instant,
-) -> bool {
-    !state.misdirected
-        && !state.record.leaving
-        && !state.health.is_paused(now)
-        && !query.excluded.contains(&state.record.name)
-        && !evacuated.contains(&state.record.zone)
-        && (query.homes.is_empty() || query.homes.contains(&state.region))
-}
-
 /// Returns the cost of a target in seconds, excluding queueing delay; lower is better.
 fn cost(state: &TargetState, query: &PlacementQuery, rank: usize, work: f64, now: Instant) -> f64 {
     let replica = match query.object {
@@ -366,7 +431,7 @@
         None => 0.0,
     };
     let slowdown = state.load.slowness(now) - 1.0;
-    let failures = state.health.failure_rate() * TargetTable::FAILURE_COST;
+    let failures = state.access.failure_rate() * TargetTable::FAILURE_COST;
     let crossing = match state.distance {
         _ if !query.streamed => Duration::ZERO,
         Distance::Zone => Duration::ZERO,
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -89,7 +89,7 @@
 fn respond(status: u16, outcome: TargetOutcome) -> Response<Body> {
     let mut response = Response::new(full_body("done"));
     *response.status_mut() = StatusCode::from_u16(status).unwrap();
-    response.extensions_mut().insert(TargetReport { load: None, outcome });
+    response.extensions_mut().insert(TargetReport::new(outcome));
     response
 }
 
--- /dev/null
+++ b/crates/steer/tests/target_access.rs
@@ -0,0 +1,223 @@
+//! Tests that no series of events lets a request start at a target past its bound, and how a target
+//! returns from a pause.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use quickcheck::{Arbitrary, Gen};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use steer::{
+    PauseRequest, PlacementError, PlacementGuard, PlacementLimits, PlacementQuery, RequestedPause,
+    RouteTable, ServiceRules, TargetHealth, TargetOutcome, TargetRecord, TargetTable,
+};
+use tokio::time::{Instant, advance};
+
+/// Number of series that the property test tries.
+const SERIES: u64 = 400;
+/// Targets of the service.
+const TARGETS: u8 = 3;
+
+fn target_table_of(vm: &str) -> Arc<TargetTable> {
+    let zones = BTreeMap::from([("lis-a".into(), "lisboa".into())]);
+    let rules = PlacementLimits { cold_burst: 40.0, cold_factor: 1.0, max_shift: 1.0 };
+    let here = ("lis-a".into(), "lisboa".into());
+    let targets = TargetTable::new(vm.into(), here, zones, rules);
+    let rules = ServiceRules { cold_rate: 8.0, cold_time: Duration::ZERO };
+    targets.set_rules(&RouteTable::new(1).service("briefs".into(), rules));
+    targets.set_vms([vm.into()].into());
+    Arc::new(targets)
+}
+
+fn record(name: u8, born: u64, sequence: u64) -> TargetRecord {
+    let address = "10.0.0.1:80".parse().unwrap();
+    let record = TargetRecord::new(format!("t-{name}"), "briefs", address).slots(8).zone("lis-a");
+    record.born(born).sequence(sequence)
+}
+
+/// What happens to a VM and its targets.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Advance(Duration),
+    Answer { failed: bool },
+    Configure,
+    Evacuate(bool),
+    Leave,
+    Lose,
+    Pause(Option<Duration>),
+    Place,
+    Register { born: u64, leaving: bool, name: u8, sequence: u64 },
+    Remove(u8),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let name = u8::arbitrary(g) % TARGETS;
+        let time = Duration::from_millis(u64::from(u16::arbitrary(g)) % 4_000);
+        match u8::arbitrary(g) % 16 {
+            0..=1 => Self::Advance(time),
+            2 => Self::Answer { failed: bool::arbitrary(g) },
+            3 => Self::Configure,
+            4 => Self::Evacuate(bool::arbitrary(g)),
+            5 => Self::Leave,
+            6 => Self::Lose,
+            7..=8 => Self::Pause(bool::arbitrary(g).then_some(time)),
+            9..=12 => Self::Place,
+            13..=14 => Self::Register {
+                born: u64::from(u8::arbitrary(g) % 3),
+                leaving: u8::arbitrary(g).is_multiple_of(8),
+                name,
+                sequence: u64::from(u8::arbitrary(g) % 4),
+            },
+            _ => Self::Remove(name),
+        }
+    }
+}
+
+/// The bounds of each incarnation, from the targets' answers alone.
+#[derive(Debug, Default)]
+struct NaiveBounds {
+    left: BTreeSet<(String, u64)>,
+    paused: BTreeMap<(String, u64), Instant>,
+}
+
+fn incarnation(guard: &PlacementGuard) -> (String, u64) {
+    (guard.target().name.to_string(), guard.target().born)
+}
+
+async fn play(events: &[Event]) {
+    let targets = target_table_of("entry-0");
+    let mut bounds = NaiveBounds::default();
+    let mut running: Vec<PlacementGuard> = Vec::new();
+    for (i, event) in events.iter().enumerate() {
+        let now = Instant::now();
+        match *event {
+            Event::Advance(time) => advance(time).await,
+            Event::Answer { failed } => {
+                if let Some(guard) = running.pop() {
+                    guard.record_response(None, failed);
+                }
+            }
+            Event::Configure => targets.set_rules(&RouteTable::new(i as u64 + 2).service(
+                "briefs".into(),
+                ServiceRules { cold_rate: 8.0, cold_time: Duration::ZERO },
+            )),
+            Event::Evacuate(on) => {
+                targets.set_evacuated(on.then(|| "lis-a".into()).into_iter().collect());
+            }
+            Event::Leave => {
+                if let Some(guard) = running.first() {
+                    guard.record_leaving(TargetOutcome::Ran);
+                    bounds.left.insert(incarnation(guard));
+                }
+            }
+            Event::Lose => {
+                if let Some(guard) = running.pop() {
+                    guard.record_lost();
+                }
+            }
+            Event::Pause(time) => {
+                let Some(guard) = running.first() else { continue };
+                guard.record_response(None, true);
+                guard.record_pause(time.map_or(PauseRequest::Unclear, PauseRequest::For));
+                let until = bounds.paused.entry(incarnation(guard)).or_insert(now);
+                *until = (*until).max(now + time.unwrap_or_default());
+            }
+            Event::Place => {
+                let Ok(guard) = targets.place_request(&PlacementQuery::new("briefs")) else {
+                    continue;
+                };
+                let key = incarnation(&guard);
+                assert!(!bounds.left.contains(&key), "step {i}: {key:?} leaves, in {events:?}");
+                let until = bounds.paused.get(&key).copied().unwrap_or(now);
+                assert!(until <= now, "step {i}: {key:?} pauses, in {events:?}");
+                running.push(guard);
+            }
+            Event::Register { born, leaving, name, sequence } => {
+                targets.apply(record(name, born, sequence).leaving(leaving));
+            }
+            Event::Remove(name) => targets.remove(&format!("t-{name}").as_str().into()),
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_request_starts_at_a_target_past_its_bound() {
+    for seed in 0..SERIES {
+        let mut events: Vec<Event> = Vec::arbitrary(&mut Gen::from_size_and_seed(120, seed));
+        events.insert(0, Event::Register { born: 0, leaving: false, name: 0, sequence: 0 });
+        play(&events).await;
+    }
+}
+
+/// Starts a pause of the only target, and returns its end.
+fn pause(targets: &Arc<TargetTable>, time: Duration) -> Instant {
+    let guard = targets.place_request(&PlacementQuery::new("briefs")).unwrap();
+    Instant::now() + guard.record_pause(PauseRequest::For(time)).unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_after_a_pause_ramp_with_what_the_target_runs() {
+    let targets = target_table_of("entry-0");
+    targets.apply(record(1, 0, 0));
+    let query = PlacementQuery::new("briefs");
+    let until = pause(&targets, Duration::from_secs(5));
+    advance(until.duration_since(Instant::now())).await;
+    let mut placed = Vec::new();
+    for _ in 0..4 {
+        let guards: Vec<PlacementGuard> =
+            std::iter::from_fn(|| targets.place_request(&query).ok()).take(100).collect();
+        guards.iter().take(1).for_each(|guard| guard.record_response(None, false));
+        placed.push(guards.len());
+    }
+    assert_eq!(placed, [1, 2, 4, 8]);
+    advance(RequestedPause::RAMP_TIME).await;
+    assert_eq!((0..40).filter_map(|_| targets.place_request(&query).ok()).count(), 40);
+}
+
+#[tokio::test(start_paused = true)]
+async fn vms_return_from_a_pause_at_different_times() {
+    let time = Duration::from_secs(5);
+    let now = Instant::now();
+    let ends: BTreeSet<Duration> = (0..20)
+        .map(|vm| {
+            let targets = target_table_of(&format!("entry-{vm}"));
+            targets.apply(record(1, 0, 0));
+            pause(&targets, time).duration_since(now)
+        })
+        .collect();
+    let longest = time + time.mul_f64(RequestedPause::SPREAD);
+    assert_eq!(ends.len(), 20);
+    assert!(ends.iter().all(|end| (time..=longest).contains(end)), "{ends:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_without_a_target_learns_the_first_return() {
+    let targets = target_table_of("entry-0");
+    let query = PlacementQuery::new("briefs");
+    targets.apply(record(1, 0, 0));
+    let first = pause(&targets, Duration::from_secs(2));
+    targets.apply(record(2, 0, 0));
+    pause(&targets, Duration::from_secs(9));
+    let wait = first.duration_since(Instant::now());
+    let error = targets.place_request(&query).map(drop).unwrap_err();
+    assert_eq!(error, PlacementError::Paused { target: "t-1".into(), wait });
+    assert_eq!(targets.first_return(&query), Some(wait));
+    targets.apply(record(3, 0, 0));
+    assert_eq!(targets.first_return(&query), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unusable_time_pauses_for_a_bounded_time() {
+    for request in [PauseRequest::Unclear, PauseRequest::For(2 * RequestedPause::LONGEST)] {
+        let targets = target_table_of("entry-0");
+        targets.apply(record(1, 0, 0));
+        let query = PlacementQuery::new("briefs");
+        targets.place_request(&query).unwrap().record_pause(request);
+        assert!(targets.place_request(&query).is_err());
+        advance(TargetHealth::FIRST_PAUSE).await;
+        assert!(targets.place_request(&query).is_ok());
+    }
+}
