--- a/crates/steer/benches/decisions.rs
+++ b/crates/steer/benches/decisions.rs
@@ -5,19 +5,23 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
+    collections::BTreeMap,
     hint::black_box,
     net::{IpAddr, Ipv4Addr},
     sync::Arc,
     time::Duration,
 };
 use steer::{
-    AdmissionQueue, BlockTable, ClientBlock, FairQueue, MemberName, MemberWeights, SlotRequest,
-    TargetCandidate, TargetName, TargetPool, TargetSettings, Urgency, choose_target,
+    AdmissionQueue, BlockTable, ClientBlock, FairQueue, MemberName, MemberWeights, PlacementLimits,
+    PlacementQuery, SlotRequest, TargetCandidate, TargetName, TargetPool, TargetRecord,
+    TargetSettings, TargetTable, Urgency, choose_target,
 };
 use tokio::time::Instant;
 
 /// Targets of a pool: the smallest and largest current service, and the planned scale.
 const TARGETS: [usize; 4] = [2, 16, 256, 2_700];
+/// Targets of a service among which an entry VM places its requests.
+const FLEETS: [usize; 2] = [100, 3_000];
 const MEMBERS: [usize; 3] = [6, 100, 2_700];
 const BLOCKS: [usize; 3] = [100, 10_000, 1_700_000];
 
@@ -146,5 +150,26 @@
     group.finish();
 }
 
-criterion_group!(benches, choice, admission, eviction, admit_choose_release, look_up);
+/// Selects a target of the fleet for a request, and ends the request.
+fn placement(c: &mut Criterion) {
+    let mut group = c.benchmark_group("placement");
+    for count in FLEETS {
+        let zones = BTreeMap::from([("lis-a".into(), "lisboa".into())]);
+        let here = ("lis-a".into(), "lisboa".into());
+        let limits = PlacementLimits::default();
+        let table = Arc::new(TargetTable::new("entry-1".into(), here, zones, limits));
+        for i in 0..count {
+            let address = "10.0.0.1:80".parse().unwrap();
+            let record = TargetRecord::new(format!("target-{i}"), "briefs", address);
+            table.apply(record.slots(6).zone("lis-a"));
+        }
+        let query = PlacementQuery::new("briefs");
+        group.bench_with_input(BenchmarkId::from_parameter(count), &query, |b, query| {
+            b.iter(|| table.place_request(query).unwrap());
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choice, admission, eviction, admit_choose_release, look_up, placement);
 criterion_main!(benches);
