Let the soak's callers pipeline and its targets answer badly

Change: eight callers keep a connection and send two to four reads at once. Targets write chunks, bodies without a length, heads and bodies that break off or stall, and repeat refusals. VMs get SIGTERM amid SIGHUPs, configurations and suspensions. The checker counts a read that was passed on and whose connection ends without an answer. The proxy passes on resets: a reset body had looked complete.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -27,6 +27,16 @@
     Configure(u32),
     /// The operator evacuates a zone for this long.
     Evacuate(usize, Duration),
+    /// A target says in its responses that it leaves, drains after this long, and returns as a new
+    /// incarnation.
+    Leave(usize, Duration),
+    /// A target says for this long that it leaves, without draining. It returns later as a new
+    /// incarnation.
+    LeaveFalsely(usize, Duration),
+    /// A target refuses all requests for a time, and asks to be spared for up to a second time.
+    Refuse(usize, Duration, Duration),
+    /// A VM receives SIGTERM amid SIGHUPs, configurations and a suspension of this length.
+    StopAmidChanges(usize, Duration),
     /// A VM receives SIGHUP.
     HangUp(usize),
     /// A VM is killed, and restarted after this delay.
--- a/crates/soak/src/find_violations.rs
+++ b/crates/soak/src/find_violations.rs
@@ -1,14 +1,15 @@
 //! Checks recorded events against the promises to callers and operators.
 
 use crate::{
-    CallOutcome, Completion, HistoryRecorder, Kind, PlannedChange, Run, Subject, soak_fleet::ZONES,
+    CallOutcome, Completion, HistoryRecorder, Kind, PlannedChange, Run, Subject,
+    find_ignored_notices::find_ignored_notices, soak_fleet::ZONES,
 };
 use derive_more::Display;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Time after which a draining target gets no new requests; the operators' bound.
-const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+pub(crate) const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
 /// Time after which an evacuated zone gets no new requests; the operators' bound.
 const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 /// Time after which a new configuration is in force; the operators' bound.
@@ -40,6 +41,7 @@
         found.extend(checker.check_runs(id, runs));
     }
     found.extend(checker.check_recovery(recovered));
+    found.extend(find_ignored_notices(recorder));
     for detail in recorder.process_failures() {
         found.push(Violation { detail, promise: "a planned stop ends in time" });
     }
@@ -74,6 +76,17 @@
                 CallOutcome::Status(404) => {
                     Some(("a known route is never denied", format!("of VM {}", completion.vm)))
                 }
+                CallOutcome::Broken
+                    if completion.pipelined
+                        && (self.was_lost(completion, runs) || self.was_cut(completion, runs)) =>
+                {
+                    let cut = self.first_cut(id);
+                    let detail = format!("not by VM {}, {cut}", completion.vm);
+                    Some(("a pipelined read is answered", detail))
+                }
+                CallOutcome::Broken if self.was_lost(completion, runs) => {
+                    Some(("a read that ran is answered", format!("not by VM {}", completion.vm)))
+                }
                 CallOutcome::Broken if self.was_cut(completion, runs) => {
                     Some(("a planned stop cuts nothing", format!("by VM {}", completion.vm)))
                 }
@@ -98,20 +111,48 @@
     /// Whether a request reached a target while neither the VM nor the target was disrupted, so that
     /// a failed connection is the fault of the VM.
     fn was_cut(&self, completion: &Completion, runs: &[Run]) -> bool {
-        let undisrupted = |run: &Run| {
-            self.recorder.is_undisrupted(
-                Subject::Target(run.target),
-                completion.sent - DRAIN_BOUND,
-                completion.at,
-            )
-        };
         !runs.is_empty()
-            && runs.iter().all(undisrupted)
-            && self.recorder.is_undisrupted(
-                Subject::Vm(completion.vm),
-                completion.sent,
-                completion.at,
-            )
+            && runs
+                .iter()
+                .all(|run| run.style.is_sound() && self.is_target_undisrupted(completion, run))
+            && self.is_vm_undisrupted(completion)
+    }
+
+    /// Whether a target had written its whole response to a read before the connection to the VM
+    /// failed, and neither was disrupted.
+    fn was_lost(&self, completion: &Completion, runs: &[Run]) -> bool {
+        let answered = |run: &Run| {
+            run.style.is_sound()
+                && run.ended.is_some_and(|ended| ended <= completion.at)
+                && self.is_target_undisrupted(completion, run)
+        };
+        is_repeatable(completion.kind)
+            && runs.iter().any(answered)
+            && self.is_vm_undisrupted(completion)
+    }
+
+    /// Describes the first read that was cut in the group of a pipelined read.
+    fn first_cut(&self, id: &str) -> String {
+        let group = id.rsplit_once('-').map_or(id, |(group, _)| group);
+        let mut reads = (0..).map(|i| format!("{group}-{i}")).take_while(|read| read != id);
+        let cut = reads.find(|read| {
+            self.completions.get(read).is_some_and(|c| c.outcome == CallOutcome::Broken)
+        });
+        let Some(cut) = cut else { return "nothing was cut before it".to_owned() };
+        let runs = self.runs.get(&cut).into_iter().flatten();
+        format!("behind {cut} {:?}", runs.map(|run| run.style).collect::<Vec<_>>())
+    }
+
+    fn is_target_undisrupted(&self, completion: &Completion, run: &Run) -> bool {
+        let from = completion.sent - DRAIN_BOUND;
+        self.recorder.is_undisrupted(Subject::Target(run.target), from, completion.at)
+    }
+
+    fn is_vm_undisrupted(&self, completion: &Completion) -> bool {
+        let subjects = [Subject::Link(completion.vm), Subject::Vm(completion.vm)];
+        subjects
+            .into_iter()
+            .all(|subject| self.recorder.is_undisrupted(subject, completion.sent, completion.at))
     }
 
     fn check_runs(&self, id: &str, runs: &[Run]) -> Vec<Violation> {
--- a/crates/soak/src/history_recorder.rs
+++ b/crates/soak/src/history_recorder.rs
@@ -1,5 +1,6 @@
 //! Records requests as seen by callers and targets, injected faults and planned changes.
 
+use crate::AnswerStyle;
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 use tokio::time::Instant;
 
@@ -40,6 +41,8 @@
     pub outcome: CallOutcome,
     /// Kind of the request.
     pub kind: Kind,
+    /// Whether it was sent with other requests at once.
+    pub pipelined: bool,
     /// When the request was sent.
     pub sent: Instant,
     /// Number of the VM that it was sent to.
@@ -51,22 +54,50 @@
 pub struct Run {
     /// When execution began.
     pub at: Instant,
+    /// When the response had been written; `None` if it was not.
+    pub ended: Option<Instant>,
     /// Service of the target.
     pub service: &'static str,
+    /// How the target writes its response.
+    pub style: AnswerStyle,
     /// Number of the target.
     pub target: usize,
     /// Whether the request lacked the name of the target's instance.
     pub unnamed: bool,
 }
 
+/// What a target says of itself in a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Notice {
+    /// It leaves.
+    Leaving,
+    /// It refused the request and is to be spared for this long.
+    Pause(Duration),
+}
+
+/// Arrival of a request at a target that it names, whether it runs or is refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it arrived or, if it was refused, when the refusal was written.
+    pub at: Instant,
+    /// Incarnation of the target.
+    pub incarnation: u64,
+    /// What the response says of the target.
+    pub notice: Option<Notice>,
+    /// Number of the target.
+    pub target: usize,
+}
+
 /// Part of the system that a disruption affects.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Subject {
+    /// The connection between a VM and the store.
+    Link(usize),
     /// The store, for all VMs.
     Store,
     /// A target.
     Target(usize),
-    /// A VM, or its connection to the store.
+    /// The process of a VM.
     Vm(usize),
 }
 
@@ -98,6 +129,7 @@
 
 #[derive(Debug, Default)]
 struct Entries {
+    arrivals: BTreeMap<String, Vec<Arrival>>,
     completions: BTreeMap<String, Completion>,
     changes: Vec<(Instant, PlannedChange)>,
     runs: BTreeMap<String, Vec<Run>>,
@@ -121,6 +153,21 @@
         self.with(|e| drop(e.completions.insert(id, completion)));
     }
 
+    /// Records the arrival of a request at a target.
+    pub fn record_arrival(&self, id: &str, arrival: Arrival) {
+        self.with(|e| e.arrivals.entry(id.to_owned()).or_default().push(arrival));
+    }
+
+    /// Records that a target has written its response.
+    pub fn record_end(&self, id: &str, target: usize) {
+        self.with(|e| {
+            let runs = e.runs.get_mut(id).into_iter().flatten();
+            if let Some(run) = runs.rev().find(|run| run.target == target) {
+                run.ended = Some(Instant::now());
+            }
+        });
+    }
+
     /// Records that a target began to execute a request.
     pub fn record_run(&self, id: &str, run: Run) {
         self.with(|e| e.runs.entry(id.to_owned()).or_default().push(run));
@@ -154,6 +201,11 @@
         self.with(|e| e.completions.clone())
     }
 
+    /// Returns the arrivals at targets by request id.
+    pub fn arrivals(&self) -> BTreeMap<String, Vec<Arrival>> {
+        self.with(|e| e.arrivals.clone())
+    }
+
     /// Returns the executions by request id.
     pub fn runs(&self) -> BTreeMap<String, Vec<Run>> {
         self.with(|e| e.runs.clone())
@@ -181,8 +233,8 @@
     /// [`Self::STABLE_WINDOW`] before it.
     pub fn was_connected(&self, vm: usize, from: Instant, to: Instant) -> bool {
         let from = from.checked_sub(Self::STABLE_WINDOW).unwrap_or(from);
-        self.is_undisrupted(Subject::Vm(vm), from, to)
-            && self.is_undisrupted(Subject::Store, from, to)
+        let subjects = [Subject::Link(vm), Subject::Store, Subject::Vm(vm)];
+        subjects.into_iter().all(|subject| self.is_undisrupted(subject, from, to))
     }
 
     /// Time after a disruption before promises with a time limit hold again. Operators call it the
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod fault;
+mod find_ignored_notices;
 mod find_violations;
 mod history_recorder;
 mod proxy;
@@ -27,12 +28,13 @@
     fault::{Fault, LinkFault},
     find_violations::{Violation, find_violations},
     history_recorder::{
-        CallOutcome, Completion, Disruption, HistoryRecorder, Kind, PlannedChange, Run, Subject,
+        Arrival, CallOutcome, Completion, Disruption, HistoryRecorder, Kind, Notice, PlannedChange,
+        Run, Subject,
     },
     proxy::Proxy,
     run::{SoakOptions, SoakReport, run_soak},
     schedule::{Schedule, Step},
     soak_fleet::{SoakFleet, TARGETS, VMS},
-    stand_ins::{SoakTarget, run_caller},
+    stand_ins::{AnswerStyle, SoakTarget, run_caller, run_pipelining_caller},
     vm_process::{Exit, VmProcess},
 };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 Usage: soak [OPTIONS]
 
 Options:
+  --program P   Executable of the entry VMs (default: this one)
   --seconds N   Time with calls (default 30)
   --seed N      First seed (default 1)
   --seeds N     Number of seeds, one after the other (default 1)
@@ -34,20 +35,20 @@
 }
 
 fn run(mut parser: Parser) -> Result<bool, Box<dyn Error>> {
-    let (mut seconds, mut first, mut count) = (30, 1, 1);
+    let (mut program, mut seconds, mut first, mut count) = (env::current_exe()?, 30, 1, 1);
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") => {
                 print!("{HELP}");
                 return Ok(true);
             }
+            Arg::Long("program") => program = parser.value()?.into(),
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             Arg::Long("seed") => first = parser.value()?.parse()?,
             Arg::Long("seeds") => count = parser.value()?.parse()?,
             other => return Err(other.unexpected().into()),
         }
     }
-    let program = env::current_exe()?;
     let runtime = tokio::runtime::Runtime::new()?;
     let mut passed = true;
     for seed in first..first + count {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -6,7 +6,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
     time::sleep,
@@ -73,33 +73,41 @@
     let _ = stream.set_zero_linger();
 }
 
-async fn forward(client: TcpStream, server: TcpStream, mut fault: watch::Receiver<LinkFault>) {
+async fn forward(
+    mut client: TcpStream,
+    mut server: TcpStream,
+    mut fault: watch::Receiver<LinkFault>,
+) {
     // Avoids Nagle delays for small messages; a failure only adds latency.
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let upstream = copy(client_read, server_write, fault.clone(), false);
     let downstream = copy(server_read, client_write, fault.clone(), true);
     let reset = fault.wait_for(|fault| *fault == LinkFault::Reset);
-    let copies = async { tokio::join!(upstream, downstream) };
-    tokio::select! {
-        _ = copies => {}
-        _ = reset => {}
+    let copies = async { tokio::try_join!(upstream, downstream) };
+    let ended = tokio::select! {
+        ended = copies => ended.is_ok(),
+        _ = reset => false,
+    };
+    if !ended {
+        // A close instead would complete a body that ends with its connection.
+        reset_on_close(&client);
+        reset_on_close(&server);
     }
 }
 
 /// Copies one direction. Once data has been discarded, nothing more is forwarded in this direction,
 /// since the byte stream would have a gap.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     fault: watch::Receiver<LinkFault>,
     is_downstream: bool,
-) {
+) -> io::Result<()> {
     let mut discarding = false;
     let mut bytes = vec![0; BUFFER_BYTES];
-    // End of stream and read errors both end the loop, which shuts down `to`.
-    while let Ok(length @ 1..) = from.read(&mut bytes).await {
+    while let length @ 1.. = from.read(&mut bytes).await? {
         let current = *fault.borrow();
         match current {
             LinkFault::Delay(time) => sleep(time).await,
@@ -107,10 +115,9 @@
             LinkFault::Silent => discarding = true,
             LinkFault::None | LinkFault::Reset => {}
         }
-        if !discarding && to.write_all(&bytes[..length]).await.is_err() {
-            break;
+        if !discarding {
+            to.write_all(&bytes[..length]).await?;
         }
     }
-    // The receiver may have closed the connection already.
-    let _ = to.shutdown().await;
+    to.shutdown().await
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,8 +1,9 @@
 //! Runs a soak: starts the fleet, injects the faults of a seed, and checks the promises.
 
 use crate::{
-    CallOutcome, Completion, Exit, Fault, LinkFault, PlannedChange, Schedule, SoakFleet, Step,
-    Subject, Violation, VmProcess, find_violations, run_caller, soak_fleet::SHUTDOWN_GRACE,
+    CallOutcome, Completion, Exit, Fault, LinkFault, PlannedChange, Schedule, SoakFleet,
+    SoakTarget, Step, Subject, Violation, VmProcess, find_violations, run_caller,
+    run_pipelining_caller, schedule::FAULT_FREE_END, soak_fleet::SHUTDOWN_GRACE,
     stand_ins::wait_ready,
 };
 use futures_util::future::join_all;
@@ -15,12 +16,19 @@
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 24;
+/// Number of concurrent callers that pipeline reads.
+const PIPELINING_CALLERS: u64 = 8;
+/// Time between a target's false announcement and its restart; longer than the time for which it may
+/// get requests sent before the announcement.
+const FALSE_LEAVE_TIME: Duration = Duration::from_secs(5);
 /// Time at the end of the soak in which requests must be served again.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(4);
 /// Time for which a draining target still serves requests.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 /// Time between the removal of a target and its return.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Time between two changes of a series.
+const CHANGE_GAP: Duration = Duration::from_millis(150);
 /// Maximum time to wait for requests in flight at the end.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
@@ -79,6 +87,9 @@
     for number in 0..CALLERS {
         callers.spawn(run_caller(Arc::clone(&fleet), number, options.seed));
     }
+    for number in CALLERS..CALLERS + PIPELINING_CALLERS {
+        callers.spawn(run_pipelining_caller(Arc::clone(&fleet), number, options.seed));
+    }
     let mut faults = JoinSet::new();
     for step in schedule.steps.clone() {
         let fleet = Arc::clone(&fleet);
@@ -87,6 +98,8 @@
             inject(&fleet, step.fault).await;
         });
     }
+    sleep_until(start + schedule.length.saturating_sub(FAULT_FREE_END)).await;
+    fleet.targets.iter().for_each(SoakTarget::calm_down);
     sleep_until(start + schedule.length).await;
     callers.shutdown().await;
     faults.shutdown().await;
@@ -111,12 +124,7 @@
     let recorder = &fleet.recorder;
     match fault {
         Fault::Compact => fleet.compact(),
-        Fault::Configure(count) => {
-            for _ in 0..count {
-                fleet.write_configuration();
-                sleep(Duration::from_millis(150)).await;
-            }
-        }
+        Fault::Configure(count) => configure(fleet, count).await,
         Fault::Drain(target) => drain(fleet, target).await,
         Fault::Evacuate(zone, time) => {
             fleet.set_evacuated(zone, true);
@@ -128,14 +136,21 @@
         Fault::KillAll(time) => {
             join_all((0..fleet.processes.len()).map(|vm| kill(fleet, vm, time))).await;
         }
-        Fault::Pause(vm, time) => {
-            let process = fleet.processes[vm].lock().await;
-            let disruption = recorder.begin_disruption(Subject::Vm(vm));
-            process.signal("STOP");
+        Fault::Leave(target, time) => {
+            fleet.targets[target].set_leaving(true);
             sleep(time).await;
-            process.signal("CONT");
-            recorder.end_disruption(disruption);
+            drain(fleet, target).await;
         }
+        Fault::LeaveFalsely(target, time) => {
+            fleet.targets[target].set_leaving(true);
+            sleep(time).await;
+            fleet.targets[target].set_leaving(false);
+            sleep(FALSE_LEAVE_TIME).await;
+            replace(fleet, target).await;
+        }
+        Fault::Pause(vm, time) => pause(fleet, vm, &*fleet.processes[vm].lock().await, time).await,
+        Fault::Refuse(target, time, pause) => fleet.targets[target].refuse_for(time, pause),
+        Fault::StopAmidChanges(vm, time) => stop_amid_changes(fleet, vm, time).await,
         Fault::Store(fault, time) => {
             let disruption = recorder.begin_disruption(Subject::Store);
             fleet.set_store_fault(fault);
@@ -144,7 +159,7 @@
             recorder.end_disruption(disruption);
         }
         Fault::StoreLink(vm, link, time) => {
-            let disruption = recorder.begin_disruption(Subject::Vm(vm));
+            let disruption = recorder.begin_disruption(Subject::Link(vm));
             fleet.set_store_link_fault(vm, link);
             sleep(time).await;
             fleet.set_store_link_fault(vm, LinkFault::None);
@@ -161,6 +176,22 @@
     }
 }
 
+async fn configure(fleet: &SoakFleet, count: u32) {
+    for _ in 0..count {
+        fleet.write_configuration();
+        sleep(CHANGE_GAP).await;
+    }
+}
+
+/// Suspends a process.
+async fn pause(fleet: &SoakFleet, vm: usize, process: &VmProcess, time: Duration) {
+    let disruption = fleet.recorder.begin_disruption(Subject::Vm(vm));
+    process.signal("STOP");
+    sleep(time).await;
+    process.signal("CONT");
+    fleet.recorder.end_disruption(disruption);
+}
+
 /// Sends SIGHUP. It may end a process that has not installed its signal handlers yet; such a
 /// process is restarted, as the platform would do.
 async fn hang_up(fleet: &SoakFleet, vm: usize) {
@@ -195,21 +226,54 @@
 /// Stops a VM with SIGTERM, and restarts it.
 async fn terminate(fleet: &SoakFleet, vm: usize) {
     let mut process = fleet.processes[vm].lock().await;
+    stop(fleet, vm, &mut process, async |process| process.signal("TERM")).await;
+}
+
+/// Stops a VM with SIGTERM, amid SIGHUPs, configurations and a suspension.
+async fn stop_amid_changes(fleet: &SoakFleet, vm: usize, time: Duration) {
+    let mut process = fleet.processes[vm].lock().await;
+    if process.is_new() {
+        sleep(VmProcess::STARTUP_TIME).await;
+    }
+    stop(fleet, vm, &mut process, async |process| {
+        process.signal("HUP");
+        configure(fleet, 2).await;
+        process.signal("TERM");
+        configure(fleet, 2).await;
+        process.signal("HUP");
+        pause(fleet, vm, process, time).await;
+    })
+    .await;
+}
+
+/// Sends signals that end a process, and restarts it.
+async fn stop(
+    fleet: &SoakFleet,
+    vm: usize,
+    process: &mut VmProcess,
+    signals: impl AsyncFnOnce(&VmProcess),
+) {
     let new = process.is_new();
-    process.signal("TERM");
+    signals(process).await;
     let exit = process.wait(SHUTDOWN_GRACE).await;
     if exit != Exit::Code(0) && !(new && exit == Exit::Signal) {
         fleet.recorder.record_process_failure(format!("VM {vm} after SIGTERM: {exit}"));
         process.kill();
     }
-    restart(fleet, vm, &mut process);
+    restart(fleet, vm, process);
 }
 
 /// Drains a target, removes it, and returns it as a new incarnation.
 async fn drain(fleet: &SoakFleet, target: usize) {
+    fleet.targets[target].set_leaving(true);
     fleet.register(target, "draining");
     fleet.recorder.record_change(PlannedChange::Drained(target));
     sleep(DRAIN_TIME).await;
+    replace(fleet, target).await;
+}
+
+/// Removes a target, and returns it as a new incarnation.
+async fn replace(fleet: &SoakFleet, target: usize) {
     fleet.deregister(target);
     let disruption = fleet.recorder.begin_disruption(Subject::Target(target));
     fleet.targets[target].set_fault(LinkFault::Reset);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -46,11 +46,37 @@
             }
             at += MEAN_GAP.mul_f64(rng.random_range(0.2..1.8));
         }
+        steps.extend(draw_notices_and_stops(seed, length));
         steps.sort_by_key(|step| step.at);
         Self { length, steps }
     }
 }
 
+/// Draws notices of targets, and stops of VMs amid changes. They have a generator of their own, so
+/// that the other faults of a seed stay the same.
+fn draw_notices_and_stops(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let (mut at, mut steps) = (FAULT_FREE_START, Vec::new());
+    while at + FAULT_FREE_END < length {
+        let (vm, target) = (rng.random_range(0..VMS), rng.random_range(0..TARGETS));
+        let fault = match rng.random_range(0..6) {
+            0 => Fault::Leave(target, seconds(&mut rng, 0.0, 2.0)),
+            1 => Fault::LeaveFalsely(target, seconds(&mut rng, 0.2, 1.0)),
+            2 => Fault::StopAmidChanges(vm, seconds(&mut rng, 0.1, 0.8)),
+            _ => {
+                let time = seconds(&mut rng, 0.2, 2.0);
+                Fault::Refuse(target, time, seconds(&mut rng, 1.0, 4.0))
+            }
+        };
+        for i in 0..rng.random_range(1..3_u8) {
+            let later = Duration::from_millis(200) * u32::from(i);
+            steps.push(Step { at: at + later, fault: apply_to_next(fault, i.into()) });
+        }
+        at += MEAN_GAP.mul_f64(rng.random_range(0.2..1.8));
+    }
+    steps
+}
+
 fn seconds(rng: &mut SmallRng, from: f64, to: f64) -> Duration {
     Duration::from_secs_f64(rng.random_range(from..to))
 }
@@ -91,7 +117,11 @@
         Fault::Drain(t) => Fault::Drain(target(t)),
         Fault::HangUp(v) => Fault::HangUp(vm(v)),
         Fault::Kill(v, time) => Fault::Kill(vm(v), time),
+        Fault::Leave(t, time) => Fault::Leave(target(t), time),
+        Fault::LeaveFalsely(t, time) => Fault::LeaveFalsely(target(t), time),
         Fault::Pause(v, time) => Fault::Pause(vm(v), time),
+        Fault::Refuse(t, time, pause) => Fault::Refuse(target(t), time, pause),
+        Fault::StopAmidChanges(v, time) => Fault::StopAmidChanges(vm(v), time),
         Fault::StoreLink(v, link, time) => Fault::StoreLink(vm(v), link, time),
         Fault::TargetLink(t, link, time) => Fault::TargetLink(target(t), link, time),
         Fault::Terminate(v) => Fault::Terminate(vm(v)),
--- a/crates/soak/src/stand_ins/callers.rs
+++ b/crates/soak/src/stand_ins/callers.rs
@@ -14,27 +14,27 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Deadline of a request.
-const DEADLINE: Duration = Duration::from_secs(3);
+pub(super) const DEADLINE: Duration = Duration::from_secs(3);
 /// Time beyond the deadline after which a response counts as missing.
-const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
+pub(super) const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
 /// Mean pause between two requests of a caller.
-const REQUEST_PAUSE: Duration = Duration::from_millis(60);
+pub(super) const REQUEST_PAUSE: Duration = Duration::from_millis(60);
 /// Time for which a directory response is cached; the directory allows two seconds.
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Timeout of a directory lookup.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Share of requests that go to the same VM as the one before.
+const KEEP_SHARE: f64 = 0.5;
 /// Size of an upload in bytes.
 const UPLOAD_BYTES: usize = 100 << 10;
 
 /// Sends requests until the task is aborted. Pooled connections are reused until they fail.
 pub async fn run_caller(fleet: Arc<SoakFleet>, number: u64, seed: u64) {
-    let caller = Caller {
-        recorder: Arc::clone(&fleet.recorder),
-        pool: ConnectionPool::with_connect_timeout(Duration::from_secs(1)),
-        vms: fleet.addresses.clone(),
-    };
+    let caller = Caller::new(&fleet);
     let mut rng = SmallRng::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9));
     let (mut addresses, mut resolved) = (Vec::new(), Instant::now());
+    // VM that is used until its connection fails, also when the directory no longer lists it.
+    let mut kept = None;
     for count in 0_u64.. {
         if addresses.is_empty() || resolved.elapsed() > DIRECTORY_TTL {
             // Callers keep using the last addresses while the directory can't be reached.
@@ -47,7 +47,8 @@
         if addresses.is_empty() {
             continue;
         }
-        let address = addresses[rng.random_range(0..addresses.len())];
+        let listed = addresses[rng.random_range(0..addresses.len())];
+        let address = kept.filter(|_| rng.random_bool(KEEP_SHARE)).unwrap_or(listed);
         let Some(vm) = caller.vms.iter().position(|vm| vm.callers == address) else {
             continue;
         };
@@ -60,21 +61,31 @@
         let id = format!("{number}-{count}");
         let object = rng.random_range(0..20);
         let outcome = caller.call((address, vm), kind, &id, object).await;
+        let failed = matches!(outcome, CallOutcome::Broken | CallOutcome::Unreached);
+        kept = (!failed).then_some(address);
         if matches!(outcome, CallOutcome::Unreached) {
             addresses.retain(|other| *other != address);
         }
     }
 }
 
-struct Caller {
-    recorder: Arc<HistoryRecorder>,
+pub(super) struct Caller {
+    pub(super) recorder: Arc<HistoryRecorder>,
     pool: Arc<ConnectionPool>,
-    vms: Vec<ListenAddresses>,
+    pub(super) vms: Vec<ListenAddresses>,
 }
 
 impl Caller {
+    pub(super) fn new(fleet: &SoakFleet) -> Self {
+        Self {
+            recorder: Arc::clone(&fleet.recorder),
+            pool: ConnectionPool::with_connect_timeout(Duration::from_secs(1)),
+            vms: fleet.addresses.clone(),
+        }
+    }
+
     /// Looks up addresses at the directories of up to three random VMs.
-    async fn resolve(&self, rng: &mut SmallRng) -> Option<Vec<SocketAddr>> {
+    pub(super) async fn resolve(&self, rng: &mut SmallRng) -> Option<Vec<SocketAddr>> {
         let zone = if rng.random_bool(0.7) { ("lis-a", "lisboa") } else { ("por-a", "porto") };
         for _ in 0..3 {
             let directory = self.vms[rng.random_range(0..self.vms.len())].directory;
@@ -144,8 +155,14 @@
             }
             other => other,
         };
-        let completion =
-            Completion { at: Instant::now(), outcome: outcome.clone(), kind, sent, vm };
+        let completion = Completion {
+            at: Instant::now(),
+            outcome: outcome.clone(),
+            kind,
+            pipelined: false,
+            sent,
+            vm,
+        };
         self.recorder.record_completion(id.to_owned(), completion);
         outcome
     }
--- a/crates/soak/src/stand_ins/target.rs
+++ b/crates/soak/src/stand_ins/target.rs
@@ -1,20 +1,25 @@
-//! Simulated target that records the requests it executes.
+//! Simulated target that records the requests it receives and executes.
 
-use crate::{HistoryRecorder, LinkFault, Proxy, Run};
-use adapters::{Listener, ListenerLimits};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use super::{
+    answer_style::{AnswerStyle, generator},
+    message::MessageHead,
+};
+use crate::{Arrival, HistoryRecorder, LinkFault, Notice, Proxy, Run};
+use rand::RngExt;
 use std::{
     io,
     net::SocketAddr,
     sync::{
-        Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
-use steer::{Body, empty_body, full_body};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
 
 /// Number of slots that a target reports.
 const SLOTS: u32 = 8;
@@ -22,25 +27,40 @@
 const MAX_REQUESTS: u32 = 24;
 /// Processing time of a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(40);
+/// Pause before a refusal is repeated; some repetitions come after the next request.
+const REPETITION_PAUSE: Duration = Duration::from_millis(30);
 
 /// A target behind a proxy.
 #[derive(Debug)]
 pub struct SoakTarget {
-    incarnation: Arc<AtomicU64>,
     number: usize,
     proxy: Proxy,
     service: &'static str,
+    state: Arc<Mutex<TargetState>>,
     zone: &'static str,
 }
 
+/// What a target tells those that send it requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetState {
+    /// Whether it refuses requests and writes faulty responses only when told to.
+    calm: bool,
+    /// Number of the current incarnation.
+    incarnation: u64,
+    /// Whether its responses say that it leaves.
+    leaving: bool,
+    /// Until when it refuses all requests, and for how long it then asks to be spared.
+    refusal: Option<(Instant, Duration)>,
+}
+
 /// Request handler of a target.
 #[derive(Clone, Debug)]
 struct RequestHandler {
     busy: Arc<AtomicU32>,
-    incarnation: Arc<AtomicU64>,
-    recorder: Arc<HistoryRecorder>,
     number: usize,
+    recorder: Arc<HistoryRecorder>,
     service: &'static str,
+    state: Arc<Mutex<TargetState>>,
 }
 
 /// Returns the name of a target's incarnation.
@@ -48,6 +68,10 @@
     format!("i-{number}-{incarnation}")
 }
 
+fn with<T>(state: &Mutex<TargetState>, change: impl FnOnce(&mut TargetState) -> T) -> T {
+    change(&mut state.lock().expect("no thread panics while it holds the lock"))
+}
+
 impl SoakTarget {
     /// Starts a target and its proxy.
     ///
@@ -60,22 +84,23 @@
         zone: &'static str,
         recorder: Arc<HistoryRecorder>,
     ) -> io::Result<Self> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = Listener::bind(any, ListenerLimits::default()).await?;
-        let proxy = Proxy::start(listener.address()?).await?;
-        let incarnation = Arc::new(AtomicU64::new(1));
-        let handler = RequestHandler {
-            busy: Arc::default(),
-            incarnation: Arc::clone(&incarnation),
-            recorder,
-            number,
-            service,
-        };
-        tokio::spawn(listener.serve(move |request, _| {
-            let handler = handler.clone();
-            async move { handler.handle(request).await }
-        }));
-        Ok(Self { incarnation, number, proxy, service, zone })
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let proxy = Proxy::start(listener.local_addr()?).await?;
+        let state: Arc<Mutex<TargetState>> = Arc::default();
+        let busy = Arc::default();
+        let handler = RequestHandler { busy, number, recorder, service, state: Arc::clone(&state) };
+        tokio::spawn(async move {
+            loop {
+                // Accept fails when descriptors run out; retry once other connections have closed.
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(50)).await;
+                    continue;
+                };
+                let handler = handler.clone();
+                tokio::spawn(async move { handler.serve(stream).await });
+            }
+        });
+        Ok(Self { number, proxy, service, state, zone })
     }
 
     /// Returns the address of the proxy, at which VMs reach the target.
@@ -85,12 +110,31 @@
 
     /// Returns the name of the current incarnation.
     pub fn name(&self) -> String {
-        name(self.number, self.incarnation.load(Ordering::Relaxed))
+        name(self.number, with(&self.state, |state| state.incarnation))
     }
 
     /// Replaces the current incarnation by the next.
     pub fn restart(&self) {
-        self.incarnation.fetch_add(1, Ordering::Relaxed);
+        with(&self.state, |state| {
+            let incarnation = state.incarnation + 1;
+            let calm = state.calm;
+            *state = TargetState { calm, incarnation, ..TargetState::default() };
+        });
+    }
+
+    /// Ends random refusals and faulty responses.
+    pub fn calm_down(&self) {
+        with(&self.state, |state| state.calm = true);
+    }
+
+    /// Sets whether responses say that the target leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        with(&self.state, |state| state.leaving = leaving);
+    }
+
+    /// Refuses all requests for some time, and asks to be spared for up to `pause` after each.
+    pub fn refuse_for(&self, time: Duration, pause: Duration) {
+        with(&self.state, |state| state.refusal = Some((Instant::now() + time, pause)));
     }
 
     /// Returns the target's service.
@@ -109,55 +153,96 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
-}
-
-fn respond(status: StatusCode, body: Body, header: (&'static str, &'static str)) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    response.headers_mut().insert(header.0, HeaderValue::from_static(header.1));
-    response
-}
-
 impl RequestHandler {
-    async fn handle(&self, request: Request<Body>) -> Response<Body> {
-        let headers = request.headers().clone();
-        let id = text(&headers, "request-id").to_owned();
-        let expected = text(&headers, "expect-instance").to_owned();
-        let own = name(self.number, self.incarnation.load(Ordering::Relaxed));
-        let refusal = ("not-run", "1");
-        if !expected.is_empty() && expected != own {
-            return respond(StatusCode::MISDIRECTED_REQUEST, empty_body(), refusal);
+    /// Serves a connection until either side closes it. An error ends the connection only.
+    async fn serve(self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut stream = BufReader::new(stream);
+        while let Some(head) = MessageHead::read(&mut stream).await? {
+            if !self.answer(&head, &mut stream).await? {
+                break;
+            }
         }
-        if self.busy.load(Ordering::Relaxed) >= MAX_REQUESTS {
-            return respond(StatusCode::SERVICE_UNAVAILABLE, empty_body(), refusal);
+        Ok(())
+    }
+
+    /// Answers a request. Returns whether the connection stays open.
+    async fn answer(
+        &self,
+        head: &MessageHead,
+        stream: &mut BufReader<TcpStream>,
+    ) -> io::Result<bool> {
+        let state = with(&self.state, |state| *state);
+        let (id, expected) = (head.header("request-id"), head.header("expect-instance"));
+        let leaving = if state.leaving { "server-leaving: 1\r\n" } else { "" };
+        if !expected.is_empty() && expected != name(self.number, state.incarnation) {
+            head.read_body(stream).await?;
+            return self.refuse(stream, id, "421 Misdirected Request", "").await.map(|()| true);
         }
+        let (at, incarnation, target) = (Instant::now(), state.incarnation, self.number);
+        let arrival = Arrival { at, incarnation, notice: None, target };
+        let mut rng = generator(id, self.number);
+        let refusal = state.refusal.filter(|(until, _)| at < *until);
+        if refusal.is_some()
+            || self.busy.load(Ordering::Relaxed) >= MAX_REQUESTS
+            || !state.calm && rng.random_bool(0.02)
+        {
+            head.read_body(stream).await?;
+            let (header, notice) = match refusal {
+                Some(_) if rng.random_bool(0.1) => ("retry-after: soon\r\n".to_owned(), None),
+                Some((_, pause)) => {
+                    let pause = pause.mul_f64(rng.random_range(0.3..1.0));
+                    let header = format!("retry-after: {:.3}\r\n", pause.as_secs_f64());
+                    (header, Some(Notice::Pause(pause)))
+                }
+                None => (String::new(), None),
+            };
+            self.recorder.record_arrival(id, Arrival { at: Instant::now(), notice, ..arrival });
+            let header = header + leaving;
+            self.refuse(stream, id, "503 Service Unavailable", &header).await?;
+            if rng.random_bool(0.3) {
+                sleep(REPETITION_PAUSE.mul_f64(rng.random_range(0.0..2.0))).await;
+                self.refuse(stream, id, "503 Service Unavailable", &header).await?;
+            }
+            return Ok(true);
+        }
+        let notice = state.leaving.then_some(Notice::Leaving);
+        self.recorder.record_arrival(id, Arrival { notice, ..arrival });
         let _busy = BusyGuard::new(&self.busy);
+        let style = AnswerStyle::draw(&mut rng, !state.calm);
         let run = Run {
-            at: Instant::now(),
+            at,
+            ended: None,
             service: self.service,
-            target: self.number,
+            style,
+            target,
             unnamed: expected.is_empty(),
         };
-        self.recorder.record_run(&id, run);
-        let Ok(body) = request.into_body().collect().await else {
-            // The sender aborted the body, so nobody receives this response.
-            return respond(StatusCode::BAD_REQUEST, empty_body(), refusal);
-        };
+        self.recorder.record_run(id, run);
+        let length = head.read_body(stream).await?.len();
         sleep(PROCESSING_TIME).await;
-        let length = body.to_bytes().len();
-        let stamp = ("response-stamp", "3e1b.07");
-        let body = full_body(format!("{id} {length}"));
-        let mut response = respond(StatusCode::OK, body, stamp);
-        if let Ok(id) = HeaderValue::from_str(&id) {
-            response.headers_mut().insert("request-id", id);
-        }
-        let load = format!("{},0,{SLOTS},100", self.busy.load(Ordering::Relaxed));
-        if let Ok(load) = HeaderValue::from_str(&load) {
-            response.headers_mut().insert("server-load", load);
-        }
-        response
+        let load = self.busy.load(Ordering::Relaxed);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nresponse-stamp: 3e1b.07\r\nrequest-id: {id}\r\n\
+             server-load: {load},0,{SLOTS},100\r\n{leaving}"
+        );
+        let open = style.write(stream, &head, &format!("{id} {length}")).await?;
+        self.recorder.record_end(id, target);
+        Ok(open)
+    }
+
+    /// Writes a refusal, which states that the request did not run.
+    async fn refuse(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        id: &str,
+        status: &str,
+        headers: &str,
+    ) -> io::Result<()> {
+        let text = format!(
+            "HTTP/1.1 {status}\r\nnot-run: 1\r\nrequest-id: {id}\r\n{headers}content-length: 0\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).await
     }
 }
 
--- a/crates/soak/tests/find_violations.rs
+++ b/crates/soak/tests/find_violations.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use soak::{
-    CallOutcome, Completion, HistoryRecorder, Kind, PlannedChange, Run, Subject, find_violations,
+    AnswerStyle, Arrival, CallOutcome, Completion, HistoryRecorder, Kind, Notice, PlannedChange,
+    Run, Subject, find_violations,
 };
 use std::{fmt::Write, time::Duration};
 use tokio::time::{Instant, advance};
@@ -11,7 +12,14 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn completion(outcome: CallOutcome, kind: Kind, sent: Instant) -> Completion {
-    Completion { at: sent + Duration::from_millis(100), outcome, kind, sent, vm: 1 }
+    Completion {
+        at: sent + Duration::from_millis(100),
+        outcome,
+        kind,
+        pipelined: false,
+        sent,
+        vm: 1,
+    }
 }
 
 fn whole() -> CallOutcome {
@@ -19,7 +27,31 @@
 }
 
 fn run(target: usize, service: &'static str) -> Run {
-    Run { at: Instant::now(), service, target, unnamed: false }
+    let style = AnswerStyle::Length;
+    Run { at: Instant::now(), ended: None, service, style, target, unnamed: false }
+}
+
+/// Records requests that target 0 receives and answers now; their responses hold a notice.
+fn receive(recorder: &HistoryRecorder, ids: &[&str], notice: Option<Notice>) {
+    for id in ids {
+        let arrival = Arrival { at: Instant::now(), incarnation: 0, notice, target: 0 };
+        recorder.record_arrival(id, arrival);
+        let outcome = match notice {
+            Some(Notice::Pause(_)) => CallOutcome::Status(503),
+            _ => whole(),
+        };
+        recorder.record_run(id, run(0, "briefs"));
+        recorder.record_completion((*id).into(), completion(outcome, Kind::Read, Instant::now()));
+    }
+}
+
+/// Records a read whose connection ends after its target has written the whole response.
+fn lose(recorder: &HistoryRecorder, style: AnswerStyle) {
+    recorder.record_run("a-1", Run { style, ..run(0, "briefs") });
+    recorder.record_end("a-1", 0);
+    let lost = completion(CallOutcome::Broken, Kind::Read, Instant::now());
+    let pipelined = recorder.completions().contains_key("a-0");
+    recorder.record_completion("a-1".into(), Completion { pipelined, ..lost });
 }
 
 /// Records a request that a target executes and answers now.
@@ -132,6 +164,74 @@
             );
         },
     ),
+    ("a read that ran is lost", |_| {}, 0, |r| lose(r, AnswerStyle::Chunked)),
+    (
+        "a read that ran is lost behind another",
+        |r| {
+            r.record_run("a-0", Run { style: AnswerStyle::CutChunks, ..run(3, "briefs") });
+            let cut = completion(CallOutcome::Broken, Kind::Read, Instant::now());
+            r.record_completion("a-0".into(), cut);
+        },
+        0,
+        |r| lose(r, AnswerStyle::Length),
+    ),
+    ("a read whose target broke off is lost", |_| {}, 0, |r| lose(r, AnswerStyle::CutLength)),
+    (
+        "a read is lost with its VM",
+        |r| {
+            r.begin_disruption(Subject::Vm(1));
+        },
+        0,
+        |r| lose(r, AnswerStyle::Length),
+    ),
+    (
+        "a read at a target that said it leaves, soon",
+        |r| receive(r, &["a"], Some(Notice::Leaving)),
+        2,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "a read at a target that said it leaves, late",
+        |r| receive(r, &["a"], Some(Notice::Leaving)),
+        3,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "a read at a target that said it leaves, late, of a VM that was out of touch",
+        |r| {
+            receive(r, &["a"], Some(Notice::Leaving));
+            r.begin_disruption(Subject::Link(1));
+        },
+        3,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "a read at a target that said it leaves, late, of a VM that was suspended",
+        |r| {
+            receive(r, &["a"], Some(Notice::Leaving));
+            r.begin_disruption(Subject::Vm(1));
+        },
+        3,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "two reads in a pause",
+        |r| receive(r, &["a"], Some(Notice::Pause(2 * SECOND))),
+        1,
+        |r| receive(r, &["b", "c"], None),
+    ),
+    (
+        "three reads in a pause",
+        |r| receive(r, &["a"], Some(Notice::Pause(2 * SECOND))),
+        1,
+        |r| receive(r, &["b", "c", "d"], None),
+    ),
+    (
+        "three reads after a pause",
+        |r| receive(r, &["a"], Some(Notice::Pause(2 * SECOND))),
+        3,
+        |r| receive(r, &["b", "c", "d"], None),
+    ),
     (
         "no end",
         |_| {},
