Reset an HTTP/1.0 caller whose response breaks off

A caller of HTTP/1.0 took a body that broke off for a whole one: such a body has no length and ends with its connection, which was closed in order. Change: a connection that fails is reset if its last request was HTTP/1.0. HTTP/1.1 callers see the cut from the length or the missing last chunk, and a reset could discard responses that they have not read yet. Test before: '/cut HTTP/1.0: until the end, closed, looks whole, 1 requests passed on', with and without keep-alive; after: passes, three times out of three.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -190,6 +190,8 @@
     }
     let http2 = Arc::new(AtomicBool::new(false));
     let is_http2 = Arc::clone(&http2);
+    let http10 = Arc::new(AtomicBool::new(false));
+    let is_http10 = Arc::clone(&http10);
     let stream: ReadAheadStream<AbortOnDropHandle<Response<Body>>> =
         ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
     let start = |head: &Request<()>| {
@@ -205,6 +207,7 @@
     let in_progress = Arc::clone(&busy);
     let service = service_fn(move |request: Request<Incoming>| {
         is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
+        is_http10.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let (pipelined, serve) = (pipelined.pop_pipelined(), serve.clone());
         let busy = Arc::clone(&in_progress);
         async move {
@@ -240,7 +243,12 @@
     loop {
         tokio::select! {
             biased;
-            ended = connection.as_mut() => return end(ended.err().map(|error| describe(&*error))),
+            ended = connection.as_mut() => {
+                if ended.is_err() && http10.load(Ordering::Relaxed) {
+                    stream.reset_on_close();
+                }
+                return end(ended.err().map(|error| describe(&*error)));
+            }
             read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
                 ReadAhead::Data => continue,
                 // The caller closed the connection; returning drops its requests and so cancels
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -107,6 +107,12 @@
         state.pipelined.iter().filter(is_started).count()
     }
 
+    /// Resets the connection when it is closed. In HTTP/1.0 a close completes a body without a
+    /// length, which one that failed must not look like.
+    pub(super) fn reset_on_close(&self) {
+        self.lock().stream.reset_on_close();
+    }
+
     /// Removes and returns the pipelined request that hyper has just read.
     pub(super) fn pop_pipelined(&self) -> PipelinedRequest<T> {
         self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
--- a/crates/adapters/src/http/write_timeout.rs
+++ b/crates/adapters/src/http/write_timeout.rs
@@ -26,6 +26,12 @@
         Self { inner, timer: None, timeout }
     }
 
+    /// Resets the connection when it is closed, instead of ending it in order.
+    pub(super) fn reset_on_close(&self) {
+        // Fails only if the connection is gone, which the peer sees as a failure too.
+        let _ = self.inner.set_zero_linger();
+    }
+
     fn check_timeout<T>(
         &mut self,
         cx: &mut Context<'_>,
