--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -252,7 +252,7 @@
                     }
                     return end(ended.err().map(|error| describe(&*error)));
                 }
-                read = poll_fn(|cx| stream.poll_read_ahead(cx, &start)) => match read {
+                read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
                     ReadAhead::Data => {}
                     // The caller closed the connection; returning drops its requests and so cancels
                     // them at their targets.
