Answer reads that were started early before a connection closes

What callers saw: a pipelined read that its target ran got no answer, as its connection closed behind an earlier response. Cause: the listener starts pipelined reads early, and hyper closes a connection behind the response that carries `Connection: close`, behind the current one once the listener is in phase Closing, and behind a request whose body its handler left unread. The reads behind it were dropped, and hyper ended without an error. Change: the response that closes is the last one that was started early; no read starts early once a connection is to close, behind a request with a body, behind a request that closes its connection, or while the VM isn't serving. Why it works: nothing that was passed on is behind the response that closes. Reads behind a request with a body now wait for its response.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -6,7 +6,7 @@
     to_body,
     write_timeout::WriteTimeout,
 };
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header::CONNECTION};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -192,33 +192,41 @@
     let is_http2 = Arc::clone(&http2);
     let stream: ReadAheadStream<AbortOnDropHandle<Response<Body>>> =
         ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
+    // The connection closes behind the response to the last request that was started early.
+    let closes = Arc::new(AtomicBool::new(false));
     let start = |head: &Request<()>| {
         let allowed = early.as_ref().is_some_and(|filter| filter(head));
+        let allowed = allowed && !closes.load(Ordering::Relaxed);
         let request = head.clone().map(|()| empty_body());
         allowed.then(|| {
             let response = handler(request, caller);
             AbortOnDropHandle::new(tokio::spawn(async { read_waiting_body(response.await).await }))
         })
     };
-    let (pipelined, serve) = (stream.clone(), handler.clone());
+    let (pipelined_stream, serve) = (stream.clone(), handler.clone());
     let busy = Arc::new(AtomicUsize::new(0));
     let in_progress = Arc::clone(&busy);
+    let closing = Arc::clone(&closes);
     let service = service_fn(move |request: Request<Incoming>| {
         is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
-        let (pipelined, serve) = (pipelined.pop_pipelined(), serve.clone());
-        let busy = Arc::clone(&in_progress);
+        let (pipelined, serve) = (pipelined_stream.pop_pipelined(), serve.clone());
+        let (busy, closing) = (Arc::clone(&in_progress), Arc::clone(&closing));
+        let waiting = pipelined_stream.clone();
         async move {
             busy.fetch_add(1, Ordering::Relaxed);
-            if let PipelinedRequest::Started(head, response) = pipelined
-                && is_same(&head, &request)
-                && let Ok(response) = response.await
-            {
-                busy.fetch_sub(1, Ordering::Relaxed);
-                return Ok::<_, Infallible>(response);
-            }
-            let response = serve(request.map(to_body), caller).await;
+            let early = match pipelined {
+                PipelinedRequest::Started(head, response) if is_same(&head, &request) => {
+                    response.await.ok()
+                }
+                _ => None,
+            };
+            let mut response = match early {
+                Some(response) => response,
+                None => serve(request.map(to_body), caller).await,
+            };
             busy.fetch_sub(1, Ordering::Relaxed);
-            Ok(response)
+            defer_close(&mut response, &closing, waiting.started() > 0);
+            Ok::<_, Infallible>(response)
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
@@ -251,12 +259,33 @@
         }
         let now = *phase.borrow_and_update();
         let sends_goaway = now == ListenerPhase::Draining && http2.load(Ordering::Relaxed);
-        if sends_goaway || now == ListenerPhase::Closing {
+        if now == ListenerPhase::Closing {
+            closes.store(true, Ordering::Relaxed);
+        }
+        let is_last = now == ListenerPhase::Closing && stream.started() == 0;
+        if sends_goaway || is_last {
             connection.as_mut().graceful_shutdown();
         }
     }
 }
 
+/// Closes the connection behind this response if it is to close and no request that was started early
+/// `waits` for its response; its target may have run it.
+fn defer_close(response: &mut Response<Body>, closes: &AtomicBool, waits: bool) {
+    let close = HeaderValue::from_static("close");
+    if response.headers().get(CONNECTION) == Some(&close) {
+        closes.store(true, Ordering::Relaxed);
+    }
+    if !closes.load(Ordering::Relaxed) {
+        return;
+    }
+    if waits {
+        response.headers_mut().remove(CONNECTION);
+    } else {
+        response.headers_mut().insert(CONNECTION, close);
+    }
+}
+
 /// Describes an error with its causes.
 fn describe(error: &(dyn Error + Send + Sync)) -> String {
     let mut text = error.to_string();
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -7,7 +7,7 @@
 use bytes::{Buf, BytesMut};
 use http::{
     HeaderName, HeaderValue, Method, Request, Uri,
-    header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE},
+    header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE},
 };
 use std::{
     collections::VecDeque,
@@ -42,6 +42,9 @@
 /// A request that hyper hasn't read yet.
 #[derive(Debug)]
 pub(super) enum PipelinedRequest<T> {
+    /// The request has a body. The connection closes behind it if its handler doesn't read the body
+    /// to its end.
+    Bodied,
     /// The request can't be started early.
     Deferred,
     /// The request has no body and may be started early.
@@ -54,6 +57,8 @@
 struct StreamState<T> {
     /// Bytes that hyper hasn't read yet.
     buffered: BytesMut,
+    /// Whether the request that hyper has read last has a body.
+    busy_body: bool,
     eof: bool,
     framing: Framing,
     /// Bytes of an incomplete head.
@@ -87,6 +92,7 @@
     pub(super) fn new(stream: WriteTimeout) -> Self {
         let state = StreamState {
             buffered: BytesMut::new(),
+            busy_body: false,
             eof: false,
             framing: Framing::Head,
             head: BytesMut::new(),
@@ -109,24 +115,23 @@
 
     /// Removes and returns the pipelined request that hyper has just read.
     pub(super) fn pop_pipelined(&self) -> PipelinedRequest<T> {
-        self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
+        let mut state = self.lock();
+        let pipelined = state.pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred);
+        state.busy_body = matches!(pipelined, PipelinedRequest::Bodied);
+        pipelined
     }
 
-    /// Reads ahead and starts pipelined requests. Must be polled after hyper, so that only requests
-    /// that wait behind the current one are left in the queue.
+    /// Reads ahead and starts pipelined requests, except those behind a request with a body. Must be
+    /// polled after hyper, so that only requests that wait behind the current one are left in the
+    /// queue.
     pub(super) fn poll_read_ahead(
         &self,
         cx: &mut Context<'_>,
         start: impl Fn(&Request<()>) -> Option<T>,
     ) -> Poll<ReadAhead> {
         let mut state = self.lock();
-        for pipelined in &mut state.pipelined {
-            if let PipelinedRequest::Ready(request) = pipelined
-                && let Some(started) = start(request)
-            {
-                let request = std::mem::take(request);
-                *pipelined = PipelinedRequest::Started(request, started);
-            }
+        if !state.busy_body {
+            state.start_pipelined(start);
         }
         if state.eof {
             return Poll::Ready(ReadAhead::Eof);
@@ -142,6 +147,21 @@
 }
 
 impl<T> StreamState<T> {
+    /// Starts pipelined requests up to the first one with a body.
+    fn start_pipelined(&mut self, start: impl Fn(&Request<()>) -> Option<T>) {
+        for pipelined in &mut self.pipelined {
+            if matches!(pipelined, PipelinedRequest::Bodied) {
+                return;
+            }
+            if let PipelinedRequest::Ready(request) = pipelined
+                && let Some(started) = start(request)
+            {
+                let request = std::mem::take(request);
+                *pipelined = PipelinedRequest::Started(request, started);
+            }
+        }
+    }
+
     /// Reads once from the connection and parses the received bytes.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut bytes = [0; READ_SIZE];
@@ -180,9 +200,11 @@
                 }
                 Head::Complete { body, length, request } => {
                     self.head.advance(length);
-                    self.pipelined.push_back(
-                        request.map_or(PipelinedRequest::Deferred, PipelinedRequest::Ready),
-                    );
+                    self.pipelined.push_back(match request {
+                        Some(request) => PipelinedRequest::Ready(request),
+                        None if body > 0 => PipelinedRequest::Bodied,
+                        None => PipelinedRequest::Deferred,
+                    });
                     let available =
                         usize::try_from(body).unwrap_or(usize::MAX).min(self.head.len());
                     self.head.advance(available);
@@ -229,6 +251,13 @@
     if special.iter().any(|name| headers.contains_key(name)) {
         return Head::Unsupported;
     }
+    // The connection closes behind the response to such a request.
+    let closes = headers
+        .get(CONNECTION)
+        .is_some_and(|value| !value.as_bytes().eq_ignore_ascii_case(b"keep-alive"));
+    if closes || parsed.version == Some(0) {
+        return Head::Unsupported;
+    }
     let body = match headers.get(CONTENT_LENGTH) {
         None => 0,
         Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
