Test that only the last of several started requests closes a connection

Callers whose VM stopped could lose pipelined reads that were running at targets: the first response said Connection: close, or the closing phase shut the connection after it. Change: a table of the ways in which one response could end the connection before those behind it: a stopping VM, the closing phase, a partial and a malformed head behind, a panic of a started request's predecessor. One needless borrow goes, which the linter refuses.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -243,7 +243,7 @@
             tokio::select! {
                 biased;
                 ended = connection.as_mut() => return end(ended.err().map(|e| describe(&*e))),
-                read = poll_fn(|cx| stream.poll_read_ahead(cx, &start)) => match read {
+                read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
                     ReadAhead::Data => {}
                     // The caller closed the connection; returning drops its requests and so cancels
                     // them at their targets.
--- a/crates/adapters/tests/early_requests.rs
+++ b/crates/adapters/tests/early_requests.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
-use adapters::{Listener, ListenerLimits};
+use adapters::{Listener, ListenerControl, ListenerLimits, ListenerPhase};
 use http::Response;
 use http_body_util::BodyExt;
 use std::{
@@ -152,3 +152,46 @@
         assert_eq!(counts.completed.load(Ordering::SeqCst), 0, "cancelled: {requests:?}");
     }
 }
+
+/// Each way in which the response to `/1` could end the connection before the requests behind it.
+#[tokio::test]
+async fn a_read_behind_a_response_that_closes_the_connection_is_answered() {
+    let close = "GET /close HTTP/1.1\r\nhost: a\r\n\r\n";
+    let table = [
+        ("a stopping VM", close.to_owned() + &get("/2") + &get("/3"), false, 3),
+        ("closing phase", ["/1", "/2", "/3"].map(get).concat(), true, 3),
+        ("partial head behind", ["/1", "/2"].map(get).concat() + "GET /3 HT", false, 2),
+        ("malformed head behind", ["/1", "/2"].map(get).concat() + "\0\r\n\r\n", false, 2),
+        ("panic", get("/panic") + &get("/2") + &get("/3"), false, 2),
+    ];
+    for (name, requests, closing, answered) in table {
+        let control = ListenerControl::new();
+        let limits =
+            ListenerLimits { head_timeout: PROCESSING_TIME / 2, ..ListenerLimits::default() };
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap(), limits).await.unwrap();
+        let address = listener.address().unwrap();
+        let listener = listener.with_control(&control).with_early_start(Arc::new(|_| true));
+        tokio::spawn(listener.serve(|request, _| async move {
+            sleep(PROCESSING_TIME).await;
+            let path = request.uri().path();
+            assert_ne!(path, "/panic");
+            let mut response = Response::new(full_body(path.to_owned()));
+            if path == "/close" {
+                response.headers_mut().insert("connection", "close".parse().unwrap());
+            }
+            response
+        }));
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        sleep(PROCESSING_TIME / 3).await;
+        if closing {
+            control.set(ListenerPhase::Closing);
+        }
+        let mut text = Vec::new();
+        let read = timeout(Duration::from_secs(2), stream.read_to_end(&mut text)).await;
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(text.matches("HTTP/1.1 200").count(), answered, "{name}: {text}");
+        let closes = name == "a stopping VM" || closing;
+        assert!(!closes || read.is_ok(), "{name}: the connection is still open");
+    }
+}
