Start no read behind a request with an ambiguous length

Callers saw: a read that its target had run got no answer, as the connection closed behind the read before it. Cause: the parser that reads ahead took 'Content-Length: +0' and two lengths '0' and '1' as a request without a body and started it and the reads behind it. Hyper refuses such a head and closes the connection. Change: a length with any character but digits, or a second length, leaves the rest of the stream to hyper, as other heads do that the parser doesn't support. Evidence: a_read_behind_a_rejected_length_is_not_started, without the change: '"+0": left: 3, right: 1' (three requests started, one answered); with the change it passes.

--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -285,18 +285,26 @@
     if special.iter().any(|name| headers.contains_key(name)) {
         return Head::Unsupported;
     }
-    let body = match headers.get(CONTENT_LENGTH) {
-        None => 0,
-        Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let body = match (lengths.next(), lengths.next()) {
+        (None, _) => 0,
+        (Some(value), None) => match parse_length(value) {
             Some(body) => body,
             None => return Head::Unsupported,
         },
+        _ => return Head::Unsupported,
     };
     let has_no_body = body == 0 && matches!(*request.method(), Method::GET | Method::HEAD);
     let is_last = is_http_1_0 || has_close(headers);
     Head::Complete { body, is_last, length, request: has_no_body.then(|| Box::new(request)) }
 }
 
+/// Parses a body length. Hyper closes the connection behind one with any character but digits.
+fn parse_length(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?;
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 /// Returns whether the headers ask for the connection to be closed.
 pub(super) fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
--- a/crates/adapters/tests/early_requests.rs
+++ b/crates/adapters/tests/early_requests.rs
@@ -153,6 +153,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_read_behind_a_rejected_length_is_not_started() {
+    for length in ["+0", "0\r\nContent-Length: 1", "0x0"] {
+        let (address, counts) = serve(true).await;
+        let rejected = format!("GET /2 HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n");
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all((get("/1") + &rejected + &get("/3")).as_bytes()).await.unwrap();
+        let mut text = String::new();
+        let read = stream.read_to_string(&mut text);
+        timeout(Duration::from_secs(2), read).await.unwrap().unwrap();
+        let answered = text.matches("HTTP/1.1 200").count();
+        assert_eq!(counts.started.load(Ordering::SeqCst), answered, "{length:?}: {text}");
+    }
+}
+
 /// Each way in which the response to `/1` could end the connection before the requests behind it.
 #[tokio::test]
 async fn a_read_behind_a_response_that_closes_the_connection_is_answered() {
