Keep a request that may have run from being refused as not run

Callers saw: a read that a first target ran, or may have run, and that a second one refused got 503 with 'not run'. So did one whose first target answered with a server error while no other target had room or could be reached. Cause: only the last attempt decided the refusal, and an attempt that failed with a response of its own left no trace. Change: each attempt's refusal is combined with that of the attempts before it; one that may have run goes before one that did not. A response that was dropped for another attempt counts as a failure of its target. Evidence: a_request_that_may_have_run_is_not_refused_as_not_run.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -227,11 +227,13 @@
                     if !retry {
                         return Ok(self.finish(response, guard));
                     }
+                    last = Some(Refusal::from(ErrorKind::TargetFailed).after(last));
                     continue;
                 }
                 AttemptResult::Unreached(request, refusal) => {
                     source.put_back(request);
                     unreached += 1;
+                    let refusal = refusal.after(last);
                     if unreached < MAX_UNREACHED {
                         last = Some(refusal);
                         continue;
@@ -241,7 +243,9 @@
                 AttemptResult::Lost(refusal) if self.route.repeat != RepeatRule::Idempotent => {
                     return Err(refusal);
                 }
-                AttemptResult::Lost(refusal) | AttemptResult::NotRun(refusal) => refusal,
+                AttemptResult::Lost(refusal) | AttemptResult::NotRun(refusal) => {
+                    refusal.after(last)
+                }
             };
             sent += 1;
             if sent >= self.route.attempts.max(1) || source.is_empty() || !self.may_retry() {
--- a/crates/steer/src/flows/refusal.rs
+++ b/crates/steer/src/flows/refusal.rs
@@ -1,6 +1,6 @@
 //! The refusal of a request.
 
-use crate::{Answer, ErrorKind};
+use crate::{Answer, ErrorKind, Outcome};
 use std::time::Duration;
 
 /// An error that is returned to the caller instead of a target's response.
@@ -44,6 +44,26 @@
         self
     }
 
+    /// Returns the refusal that is true of all attempts so far: an attempt that did not run doesn't
+    /// replace an earlier one that may have run.
+    ///
+    /// ```
+    /// use steer::{ErrorKind, Refusal};
+    /// let (failed, full) = (Refusal::from(ErrorKind::TargetFailed), Refusal::from(ErrorKind::NoRoom));
+    /// assert_eq!(full.clone().after(Some(failed.clone())), failed);
+    /// assert_eq!(failed.clone().after(Some(full)), failed);
+    /// ```
+    pub fn after(self, earlier: Option<Self>) -> Self {
+        match earlier {
+            Some(earlier) if self.is_not_run() && !earlier.is_not_run() => earlier,
+            _ => self,
+        }
+    }
+
+    fn is_not_run(&self) -> bool {
+        self.answer().outcome == Outcome::NotRun
+    }
+
     /// Returns the answer for the error kind. The refusal's own retry time, if any, replaces that
     /// of the kind and is rounded up to whole seconds.
     ///
--- a/crates/steer/tests/forwarding.rs
+++ b/crates/steer/tests/forwarding.rs
@@ -160,6 +160,10 @@
     }
 
     fn with_routes(self) -> Self {
+        self.with_routes_and_targets(4)
+    }
+
+    fn with_routes_and_targets(self, targets: usize) -> Self {
         let route = |name: &str, repeat| {
             Route::new(name, "a.example", &format!("/{name}/"), "briefs")
                 .repeat(repeat)
@@ -172,7 +176,7 @@
             .route(route("upload", RepeatRule::OncePerTry).streamed(true))
             .max_body(Some(1 << 20));
         self.router.activate(table);
-        for i in 1..=4 {
+        for i in 1..=targets {
             let address = "10.0.0.1:80".parse().unwrap();
             let record = TargetRecord::new(format!("t-{i}"), "briefs", address);
             self.router.target_table().apply(record.slots(2).zone("lis-a"));
@@ -234,6 +238,39 @@
     insta::assert_snapshot!(table);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_may_have_run_is_not_refused_as_not_run() {
+    use TargetBehavior::*;
+    let mut table = String::new();
+    let scripts: [&[TargetBehavior]; 5] = [
+        &[Break, Refuse],
+        &[Answer(500), Refuse],
+        &[AnswerBroken, Misdirect],
+        &[Break, Unreachable, Unreachable, Unreachable],
+        &[Answer(500), Unreachable, Unreachable, Unreachable],
+    ];
+    for script in scripts {
+        let fixture = ForwardingFixture::new(script).with_routes();
+        let end = fixture.send_to("/read/7", Duration::from_secs(5)).await;
+        writeln!(table, "{script:?}: {end}").unwrap();
+    }
+    for script in [[Break], [Answer(500)], [AnswerBroken]] {
+        let fixture = ForwardingFixture::new(&script).with_routes_and_targets(1);
+        let end = fixture.send_to("/read/7", Duration::from_secs(5)).await;
+        writeln!(table, "{script:?}, no room: {end}").unwrap();
+    }
+    insta::assert_snapshot!(table, @"
+    [Break, Refuse]: 502 the target failed after the request had been sent, unknown; sent to 2; 0 ms
+    [Answer(500), Refuse]: 502 the target failed after the request had been sent, unknown; sent to 2; 0 ms
+    [AnswerBroken, Misdirect]: 502 the answer broke off before its end, unknown; sent to 2; 0 ms
+    [Break, Unreachable, Unreachable, Unreachable]: 502 the target failed after the request had been sent, unknown; sent to 1; 0 ms
+    [Answer(500), Unreachable, Unreachable, Unreachable]: 502 the target failed after the request had been sent, unknown; sent to 1; 0 ms
+    [Break], no room: 502 the target failed after the request had been sent, unknown; sent to 1; 0 ms
+    [Answer(500)], no room: 502 the target failed after the request had been sent, unknown; sent to 1; 0 ms
+    [AnswerBroken], no room: 502 the answer broke off before its end, unknown; sent to 1; 0 ms
+    ");
+}
+
 #[tokio::test(start_paused = true)]
 async fn responds_by_the_earlier_of_deadline_and_timeout() {
     let mut table = String::new();
