Start no read behind a response that is being passed on

Callers saw: a read that was sent while the response before it was on its way, and that a target had run, got no answer when that response broke off or stalled until its deadline. Cause: reads were started early whatever the connection was doing; once the head of a response is written, a body that fails can only be cut, with all that waits behind it. Change: while a response is being passed on, no further request is started early. A read that no target got isn't lost, and it starts as soon as the response has ended.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -30,7 +30,7 @@
     },
     time::Duration,
 };
-use steer::{Body, Refusal, empty_body};
+use steer::{Body, Refusal, empty_body, hold_until_end};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -222,7 +222,8 @@
                 });
                 set_close(&mut response, &stream);
                 busy.fetch_sub(1, Ordering::Relaxed);
-                Ok::<_, Infallible>(response)
+                let passing = stream.pass_response();
+                Ok::<_, Infallible>(response.map(|body| hold_until_end(body, passing)))
             }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -63,6 +63,9 @@
     framing: Framing,
     /// Bytes of an incomplete head.
     head: BytesMut,
+    /// Number of responses that are being passed on. No request is started behind them, as it would
+    /// be lost with a response that breaks off.
+    passing: usize,
     pipelined: VecDeque<PipelinedRequest<T>>,
     /// Number of bytes received from the caller.
     received: u64,
@@ -99,6 +102,7 @@
             eof: false,
             framing: Framing::Head,
             head: BytesMut::new(),
+            passing: 0,
             pipelined: VecDeque::new(),
             received: 0,
             stream,
@@ -125,6 +129,12 @@
         self.lock().closing = true;
     }
 
+    /// Starts no request early while a response is being passed on, until the guard is dropped.
+    pub(super) fn pass_response(&self) -> PassingGuard<T> {
+        self.lock().passing += 1;
+        PassingGuard(self.clone())
+    }
+
     /// Returns whether the next response closes the connection: one has asked for that, and no
     /// request that was started early waits behind it.
     pub(super) fn closes_after(&self, close_requested: bool) -> bool {
@@ -158,11 +168,12 @@
         start: impl Fn(&Request<()>) -> Option<T>,
     ) -> Poll<ReadAhead> {
         let mut state = self.lock();
-        let (consumed, closing) = (state.received - state.buffered.len() as u64, state.closing);
+        let consumed = state.received - state.buffered.len() as u64;
+        let may_start = !state.closing && state.passing == 0;
         for pipelined in &mut state.pipelined {
             if let PipelinedRequest::Ready(request, offset) = pipelined
                 && consumed >= *offset
-                && !closing
+                && may_start
                 && let Some(started) = start(request)
             {
                 let request = std::mem::take(request);
@@ -182,6 +193,16 @@
     }
 }
 
+/// Marks a response as being passed on.
+#[derive(Debug)]
+pub(super) struct PassingGuard<T>(ReadAheadStream<T>);
+
+impl<T> Drop for PassingGuard<T> {
+    fn drop(&mut self) {
+        self.0.lock().passing -= 1;
+    }
+}
+
 impl<T> StreamState<T> {
     fn started(&self) -> usize {
         let is_started = |p: &&PipelinedRequest<T>| matches!(p, PipelinedRequest::Started(..));
