Read a streamed response on while others wait behind it

Callers saw: a read that its target had run got no answer, because a streamed response before it stalled after its second frame and was cut at its deadline. Cause: at its turn an incomplete response had to deliver one more frame, and was then passed on, also with others behind it. Change: with started requests behind it, a response is read on until it ends, or until 64 KiB are held. A response that stalls before is replaced by 504 at its deadline, one that breaks off by 502, and the ones behind it are answered. The last response on a connection is passed on as before; its first bytes are late only for a caller that pipelines behind a stream. More than 64 KiB before the stall still end in a cut.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -5,7 +5,7 @@
         ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
         read_ahead_stream::{PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
         to_body,
-        waiting_response::{WaitingResponse, catch_panic, hold_until_turn},
+        waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
@@ -292,7 +292,8 @@
 {
     if let PipelinedRequest::Started(head, response) = pipelined {
         if is_same(&head, &request) {
-            return response.take().await;
+            let turn = if stream.started() == 0 { Turn::Last } else { Turn::Followed };
+            return response.take(turn).await;
         }
         // Hyper reads the stream in another way, so no other request in the queue can be trusted.
         stream.discard_pipelined();
@@ -302,7 +303,7 @@
         // The head of a slow stream is passed on at once, as nothing else is lost with it.
         return Ok(response);
     }
-    hold_until_turn(response, ready(())).await
+    hold_until_turn(response, ready(Turn::Followed)).await
 }
 
 /// Lets only the last response to the requests that were started early close the connection.
--- a/crates/adapters/src/http/waiting_response.rs
+++ b/crates/adapters/src/http/waiting_response.rs
@@ -13,14 +13,23 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
-/// Number of bytes of a body that are read while its response waits.
+/// Number of bytes of a body that are read while its response waits, or others wait behind it.
 const MAX_WAITING_BYTES: usize = 64 << 10;
 
+/// What waits behind a response whose turn has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Turn {
+    /// Requests that were started early; they are lost with a body that fails.
+    Followed,
+    /// No request that was started early.
+    Last,
+}
+
 /// Response to a request that was started early. Dropping it cancels the request.
 #[derive(Debug)]
 pub(super) struct WaitingResponse {
     task: AbortOnDropHandle<Result<Response<Body>, Refusal>>,
-    turn: oneshot::Sender<()>,
+    turn: oneshot::Sender<Turn>,
 }
 
 impl WaitingResponse {
@@ -29,7 +38,7 @@
         let (turn, is_turn) = oneshot::channel();
         let task = tokio::spawn(async move {
             let response = catch_panic(response).await?;
-            hold_until_turn(response, async { is_turn.await.unwrap_or_default() }).await
+            hold_until_turn(response, async { is_turn.await.unwrap_or(Turn::Last) }).await
         });
         Self { task: AbortOnDropHandle::new(task), turn }
     }
@@ -40,9 +49,9 @@
     /// # Errors
     ///
     /// If the response failed before any of it was written.
-    pub(super) async fn take(self) -> Result<Response<Body>, Refusal> {
+    pub(super) async fn take(self, turn: Turn) -> Result<Response<Body>, Refusal> {
         // The task has ended if nothing receives this; it then holds the whole response.
-        _ = self.turn.send(());
+        _ = self.turn.send(turn);
         let aborted = |error: tokio::task::JoinError| {
             Err(Refusal::new(ErrorKind::AnswerCut, error.to_string()))
         };
@@ -63,15 +72,16 @@
 }
 
 /// Reads the body of a response until its turn comes, as the target could close its connection
-/// meanwhile. A body that is still incomplete then must deliver one more frame before its head is
-/// passed on: a body that has failed ends the connection, and with it the responses behind it.
+/// meanwhile. Once the head is passed on, a body that fails ends the connection, and with it the
+/// responses behind it. An incomplete body must therefore deliver one more frame first, and if
+/// others wait behind it, it is read on while it fits into memory.
 ///
 /// # Errors
 ///
 /// If the body fails, or is incomplete at its deadline, before any of it was passed on.
 pub(super) async fn hold_until_turn(
     response: Response<Body>,
-    turn: impl Future<Output = ()>,
+    turn: impl Future<Output = Turn>,
 ) -> Result<Response<Body>, Refusal> {
     if response.body().is_end_stream() {
         return Ok(response);
@@ -85,14 +95,14 @@
     };
     let (mut turn, mut expired) = (pin!(turn), pin!(expired));
     let (head, mut body) = response.into_parts();
-    let (mut bytes, mut is_turn) = (BytesMut::new(), false);
+    let (mut bytes, mut current) = (BytesMut::new(), None);
     let late = || Refusal::new(ErrorKind::DeadlinePassed, "the body had not ended at the deadline");
     loop {
         let frame = tokio::select! {
             biased;
-            frame = body.frame(), if is_turn || bytes.len() < MAX_WAITING_BYTES => frame,
-            () = &mut turn, if !is_turn => {
-                is_turn = true;
+            frame = body.frame(), if current.is_some() || bytes.len() < MAX_WAITING_BYTES => frame,
+            begun = &mut turn, if current.is_none() => {
+                current = Some(begun);
                 continue;
             }
             () = &mut expired => return Err(late()),
@@ -113,8 +123,10 @@
                 break;
             }
         }
-        if is_turn {
-            break;
+        match current {
+            Some(Turn::Last) => break,
+            Some(Turn::Followed) if bytes.len() >= MAX_WAITING_BYTES => break,
+            _ => {}
         }
     }
     Ok(Response::from_parts(head, prepend_frame(http_body::Frame::data(bytes.freeze()), body)))
