Reject responses with an unknown transfer coding

Callers got a 200 whose body was still encoded, framed as whole, when a target used a transfer coding other than plain chunks.

Cause: the parser decodes one layer of chunks if "chunked" is the last coding, reads until the end of the connection otherwise, and leaves all other codings in the body. The hop-by-hop headers that name them are removed.

Evidence, before the change (a_response_with_conflicting_framing_is_never_passed_on): unknown coding: 200 with its body (Transfer-Encoding: gzip) unknown coding and length: 200 with its body identity coding: 200 with its body unknown coding and chunks: 200 with its body (gzip, chunked) chunks twice: 200 with its body (chunked, chunked) chunks in two lines: 200 with its body chunks, then identity: 200 with another body (the caller got the chunk sizes) After it: 502 for each.

Change: the pool accepts no transfer coding but one "chunked", for targets, the store and peers. The outcome is unknown: the request may have run.

The other rows of the table pass before and after: conflicting lengths, bodies that are shorter or longer than their framing, cut trailers, obs-fold, bare CR and LF, bodies after HEAD, 204 and 304, two responses in one packet. After each of them four later requests get their own response.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -3,6 +3,7 @@
 use super::{
     pooled_body::PooledBody,
     pooled_connection::{ExchangeId, PooledConnection},
+    response_framing::check_framing,
     to_body,
 };
 use http::{Request, Response, response::Parts};
@@ -123,6 +124,7 @@
                     if head.status.is_informational() {
                         return Err(SendError::sent("the server switched protocols"));
                     }
+                    check_framing(&head.headers).map_err(SendError::sent)?;
                     check(&head).map_err(SendError::sent)?;
                     let response = Response::from_parts(head, body);
                     return Ok(self.to_pooled_response(address, connection, response));
