Write a repeated Content-Length of a response once

Callers lost their connection, and the responses behind on it, when a target repeated the length of a response; those who got it saw a length that strict clients reject.

Cause: the parser accepts "16, 16", and the header was passed on as it was. The encoder refuses such a head for a streamed body ("illegal Content-Length value") and ends the caller's connection. The lengths of responses to HEAD were not checked at all.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -119,12 +119,12 @@
             };
             match connection.send(request, id.clone()).await {
                 Ok(response) => {
-                    let (head, body) = response.into_parts();
+                    let (mut head, body) = response.into_parts();
                     // The parser skips all interim responses but a switch of protocols.
                     if head.status.is_informational() {
                         return Err(SendError::sent("the server switched protocols"));
                     }
-                    check_framing(&head.headers).map_err(SendError::sent)?;
+                    check_framing(&mut head.headers).map_err(SendError::sent)?;
                     check(&head).map_err(SendError::sent)?;
                     let response = Response::from_parts(head, body);
                     return Ok(self.to_pooled_response(address, connection, response));
