--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -3,6 +3,7 @@
 use super::{
     pooled_body::PooledBody,
     pooled_connection::{ExchangeId, PooledConnection},
+    response_framing::check_framing,
     to_body,
 };
 use http::{Request, Response, response::Parts};
@@ -118,11 +119,12 @@
             };
             match connection.send(request, id.clone()).await {
                 Ok(response) => {
-                    let (head, body) = response.into_parts();
+                    let (mut head, body) = response.into_parts();
                     // The parser skips all interim responses but a switch of protocols.
                     if head.status.is_informational() {
                         return Err(SendError::sent("the server switched protocols"));
                     }
+                    check_framing(&mut head.headers).map_err(SendError::sent)?;
                     check(&head).map_err(SendError::sent)?;
                     let response = Response::from_parts(head, body);
                     return Ok(self.to_pooled_response(address, connection, response));
