Start no read behind a head that hyper rejects

Callers saw: reads that their targets had run got no answer, as the request before them was over the listener's limits on heads, or asked for a tunnel, and its response closed the connection. Cause: the parser that reads ahead knew neither max_head nor max_headers, and took CONNECT for a request like others. Change: it has the listener's limits, and leaves CONNECT and all behind it to hyper. Evidence: a_request_is_started_only_if_its_connection_lasts_until_its_response. Without the change '3 started' for too many headers (200, 431, closed), a long head (200, 431, closed) and CONNECT (200, 200, closed); with it 1, 1 and 2 started. The other lines of the table (HEAD, 204, 304, HTTP/1.0, an unfinished head) were right before.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -3,7 +3,7 @@
 use crate::{
     http::{
         ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
-        read_ahead_stream::{PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
+        read_ahead_stream::{HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
         to_body,
         waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
@@ -195,8 +195,9 @@
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
         let unframed = Arc::new(AtomicBool::new(false));
         let is_unframed = Arc::clone(&unframed);
+        let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
         let stream: ReadAheadStream<WaitingResponse> =
-            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
+            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
             let request = head.clone().map(|()| empty_body());
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -28,6 +28,15 @@
 /// Maximum number of requests parsed ahead of hyper; hyper alone parses any further ones.
 const MAX_PIPELINED: usize = 16;
 
+/// Limits on the heads of requests, beyond which hyper closes the connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HeadLimits {
+    /// Maximum number of bytes.
+    pub(super) bytes: usize,
+    /// Maximum number of headers.
+    pub(super) headers: usize,
+}
+
 /// Position of the parser in the caller's byte stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Framing {
@@ -63,6 +72,7 @@
     framing: Framing,
     /// Bytes of an incomplete head.
     head: BytesMut,
+    limits: HeadLimits,
     /// Number of responses that are being passed on. No request is started behind them, as it would
     /// be lost with a response that breaks off.
     passing: usize,
@@ -94,7 +104,7 @@
 }
 
 impl<T> ReadAheadStream<T> {
-    pub(super) fn new(stream: WriteTimeout) -> Self {
+    pub(super) fn new(stream: WriteTimeout, limits: HeadLimits) -> Self {
         let state = StreamState {
             body_end: 0,
             buffered: BytesMut::new(),
@@ -102,6 +112,7 @@
             eof: false,
             framing: Framing::Head,
             head: BytesMut::new(),
+            limits,
             passing: 0,
             pipelined: VecDeque::new(),
             received: 0,
@@ -238,7 +249,7 @@
             self.head.extend_from_slice(bytes);
         }
         while self.framing == Framing::Head && !self.head.is_empty() {
-            match parse_head(&self.head) {
+            match parse_head(&self.head, self.limits) {
                 Head::Partial => return,
                 Head::Unsupported => self.framing = Framing::Opaque,
                 // A request left out here would misalign the queue with the requests that hyper
@@ -285,10 +296,13 @@
     Complete { body: u64, is_last: bool, length: usize, request: Option<Box<Request<()>>> },
 }
 
-fn parse_head(bytes: &[u8]) -> Head {
+fn parse_head(bytes: &[u8], limits: HeadLimits) -> Head {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
+    let mut parsed = httparse::Request::new(&mut headers[..limits.headers.min(MAX_HEADERS)]);
     let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) if length > limits.bytes => {
+            return Head::Unsupported;
+        }
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => {
             return if bytes.len() < MAX_READ_AHEAD / 2 {
@@ -303,7 +317,9 @@
     let Some(request) = to_request(&parsed) else { return Head::Unsupported };
     let headers = request.headers();
     let special = [EXPECT, TRANSFER_ENCODING, UPGRADE];
-    if special.iter().any(|name| headers.contains_key(name)) {
+    // What follows `CONNECT` belongs to the tunnel.
+    if request.method() == Method::CONNECT || special.iter().any(|name| headers.contains_key(name))
+    {
         return Head::Unsupported;
     }
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
