Write each response as HTTP/1.1 with a plain length

Callers saw: reads that their targets had run got no answer behind a response of a target that speaks HTTP/1.0, or behind one with the length twice in a header. A whole response of such a target said HTTP/1.0 on a connection that was kept. Cause: the version and the length of the target's response were passed on. Hyper ends a streamed response of HTTP/1.0 with its connection, and refuses to write a stream with a length such as '5, 5': the connection ends with an error. Change: the listener writes its own version, and drops a length that isn't a plain number; hyper then writes the length that it knows, or chunks. To a caller of HTTP/1.0 it still speaks HTTP/1.0. Evidence: three more lines of a_request_is_started_only_if_its_connection_lasts_until_its_response.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -3,14 +3,19 @@
 use crate::{
     http::{
         ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
-        read_ahead_stream::{HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
+        read_ahead_stream::{
+            HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
+        },
         to_body,
         waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
 };
-use http::{HeaderValue, Request, Response, Version, header::CONNECTION};
+use http::{
+    HeaderValue, Request, Response, Version,
+    header::{CONNECTION, CONTENT_LENGTH},
+};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -221,6 +226,7 @@
                     observe(&ReplacedResponse { caller, refusal }.into());
                     response
                 });
+                normalize_framing(&mut response);
                 set_close(&mut response, &stream);
                 busy.fetch_sub(1, Ordering::Relaxed);
                 let passing = stream.pass_response();
@@ -307,6 +313,16 @@
     hold_until_turn(response, ready(Turn::Followed)).await
 }
 
+/// Removes what makes hyper close the connection behind a response: the version of a target that
+/// speaks HTTP/1.0, and a length that isn't a plain number, such as a repeated one.
+fn normalize_framing(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_11;
+    let headers = response.headers_mut();
+    if headers.get_all(CONTENT_LENGTH).iter().any(|value| parse_length(value).is_none()) {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
 /// Lets only the last response to the requests that were started early close the connection.
 fn set_close(response: &mut Response<Body>, stream: &ReadAheadStream<WaitingResponse>) {
     let headers = response.headers_mut();
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -337,7 +337,7 @@
 }
 
 /// Parses a body length. Hyper closes the connection behind one with any character but digits.
-fn parse_length(value: &HeaderValue) -> Option<u64> {
+pub(super) fn parse_length(value: &HeaderValue) -> Option<u64> {
     let text = value.to_str().ok()?;
     text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
 }
--- a/crates/adapters/tests/closing_connections.rs
+++ b/crates/adapters/tests/closing_connections.rs
@@ -3,12 +3,14 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use adapters::{Listener, ListenerControl, ListenerLimits};
-use futures_util::future::join_all;
+use bytes::Bytes;
+use futures_util::{future::join_all, stream::iter};
 use http::{
-    HeaderValue, Response, StatusCode,
+    HeaderValue, Response, StatusCode, Version,
     header::{CONNECTION, CONTENT_LENGTH},
 };
-use http_body_util::BodyExt;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use std::{
     fmt::Write,
     net::SocketAddr,
@@ -38,6 +40,17 @@
     write_timeout: READ_TIMEOUT,
 };
 
+/// Number of frames of a streamed body.
+const FRAMES: usize = 4;
+/// Size of a frame in bytes. All of them together are more than is read while others wait.
+const FRAME_SIZE: usize = 32 << 10;
+
+/// Body of unknown length.
+fn streamed_body() -> Body {
+    let frame = || Ok(Frame::data(Bytes::from_static(&[b'w'; FRAME_SIZE])));
+    StreamBody::new(iter([(); FRAMES].map(|()| frame()))).boxed_unsync()
+}
+
 /// Builds the response that a path asks for.
 fn respond(path: &str) -> Response<Body> {
     let mut response = Response::new(full_body(path.to_owned()));
@@ -51,6 +64,17 @@
             *response.body_mut() = empty_body();
         }
         "/no-content" => *response.status_mut() = StatusCode::NO_CONTENT,
+        "/old" => *response.version_mut() = Version::HTTP_10,
+        "/old-stream" => {
+            *response.version_mut() = Version::HTTP_10;
+            *response.body_mut() = streamed_body();
+        }
+        "/repeated-length" => {
+            let length = FRAMES * FRAME_SIZE;
+            let value = HeaderValue::try_from(format!("{length}, {length}")).unwrap();
+            response.headers_mut().insert(CONTENT_LENGTH, value);
+            *response.body_mut() = streamed_body();
+        }
         _ => {}
     }
     response
@@ -139,7 +163,7 @@
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
 
-/// Requests and responses behind which hyper could close the connection.
+/// Requests that hyper rejects, and responses behind which it could close the connection.
 #[tokio::test]
 async fn a_request_is_started_only_if_its_connection_lasts_until_its_response() {
     let with_headers = |headers: &str| format!("GET /b HTTP/1.1\r\nhost: a\r\n{headers}\r\n");
@@ -153,6 +177,9 @@
         ("HTTP/1.0 kept", "GET /b HTTP/1.0\r\nconnection: keep-alive\r\n\r\n".to_owned()),
         ("204 with a body", get("/no-content")),
         ("304 with a length", get("/not-modified")),
+        ("response of HTTP/1.0", get("/old")),
+        ("streamed response of HTTP/1.0", get("/old-stream")),
+        ("repeated length", get("/repeated-length")),
     ];
     let lines = cases.map(|(name, request)| async move {
         format!("{name}: {}\n", exchange_between(&request).await)
@@ -167,5 +194,8 @@
     HTTP/1.0 kept: 3 started, HTTP/1.1 200, HTTP/1.0 200, HTTP/1.1 200, open
     204 with a body: 3 started, HTTP/1.1 200, HTTP/1.1 204, HTTP/1.1 200, open
     304 with a length: 3 started, HTTP/1.1 200, HTTP/1.1 304, HTTP/1.1 200, open
+    response of HTTP/1.0: 3 started, HTTP/1.1 200, HTTP/1.1 200, HTTP/1.1 200, open
+    streamed response of HTTP/1.0: 3 started, HTTP/1.1 200, HTTP/1.1 200, HTTP/1.1 200, open
+    repeated length: 3 started, HTTP/1.1 200, HTTP/1.1 200, HTTP/1.1 200, open
     ");
 }
