--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -3,14 +3,19 @@
 use crate::{
     http::{
         ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
-        read_ahead_stream::{PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
+        read_ahead_stream::{
+            HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
+        },
         to_body,
-        waiting_response::{WaitingResponse, catch_panic, hold_until_turn},
+        waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
 };
-use http::{HeaderValue, Request, Response, Version, header::CONNECTION};
+use http::{
+    HeaderValue, Request, Response, Version,
+    header::{CONNECTION, CONTENT_LENGTH},
+};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -30,7 +35,7 @@
     },
     time::Duration,
 };
-use steer::{Body, Refusal, empty_body};
+use steer::{Body, Refusal, empty_body, hold_until_end};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -195,8 +200,9 @@
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
         let unframed = Arc::new(AtomicBool::new(false));
         let is_unframed = Arc::clone(&unframed);
+        let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
         let stream: ReadAheadStream<WaitingResponse> =
-            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
+            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
             let request = head.clone().map(|()| empty_body());
@@ -220,9 +226,11 @@
                     observe(&ReplacedResponse { caller, refusal }.into());
                     response
                 });
+                normalize_framing(&mut response);
                 set_close(&mut response, &stream);
                 busy.fetch_sub(1, Ordering::Relaxed);
-                Ok::<_, Infallible>(response)
+                let passing = stream.pass_response();
+                Ok::<_, Infallible>(response.map(|body| hold_until_end(body, passing)))
             }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
@@ -291,7 +299,8 @@
 {
     if let PipelinedRequest::Started(head, response) = pipelined {
         if is_same(&head, &request) {
-            return response.take().await;
+            let turn = if stream.started() == 0 { Turn::Last } else { Turn::Followed };
+            return response.take(turn).await;
         }
         // Hyper reads the stream in another way, so no other request in the queue can be trusted.
         stream.discard_pipelined();
@@ -301,7 +310,17 @@
         // The head of a slow stream is passed on at once, as nothing else is lost with it.
         return Ok(response);
     }
-    hold_until_turn(response, ready(())).await
+    hold_until_turn(response, ready(Turn::Followed)).await
+}
+
+/// Removes what makes hyper close the connection behind a response: the version of a target that
+/// speaks HTTP/1.0, and a length that isn't a plain number, such as a repeated one.
+fn normalize_framing(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_11;
+    let headers = response.headers_mut();
+    if headers.get_all(CONTENT_LENGTH).iter().any(|value| parse_length(value).is_none()) {
+        headers.remove(CONTENT_LENGTH);
+    }
 }
 
 /// Lets only the last response to the requests that were started early close the connection.
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -28,6 +28,15 @@
 /// Maximum number of requests parsed ahead of hyper; hyper alone parses any further ones.
 const MAX_PIPELINED: usize = 16;
 
+/// Limits on the heads of requests, beyond which hyper closes the connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HeadLimits {
+    /// Maximum number of bytes.
+    pub(super) bytes: usize,
+    /// Maximum number of headers.
+    pub(super) headers: usize,
+}
+
 /// Position of the parser in the caller's byte stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Framing {
@@ -63,6 +72,10 @@
     framing: Framing,
     /// Bytes of an incomplete head.
     head: BytesMut,
+    limits: HeadLimits,
+    /// Number of responses that are being passed on. No request is started behind them, as it would
+    /// be lost with a response that breaks off.
+    passing: usize,
     pipelined: VecDeque<PipelinedRequest<T>>,
     /// Number of bytes received from the caller.
     received: u64,
@@ -91,7 +104,7 @@
 }
 
 impl<T> ReadAheadStream<T> {
-    pub(super) fn new(stream: WriteTimeout) -> Self {
+    pub(super) fn new(stream: WriteTimeout, limits: HeadLimits) -> Self {
         let state = StreamState {
             body_end: 0,
             buffered: BytesMut::new(),
@@ -99,6 +112,8 @@
             eof: false,
             framing: Framing::Head,
             head: BytesMut::new(),
+            limits,
+            passing: 0,
             pipelined: VecDeque::new(),
             received: 0,
             stream,
@@ -125,6 +140,12 @@
         self.lock().closing = true;
     }
 
+    /// Starts no request early while a response is being passed on, until the guard is dropped.
+    pub(super) fn pass_response(&self) -> PassingGuard<T> {
+        self.lock().passing += 1;
+        PassingGuard(self.clone())
+    }
+
     /// Returns whether the next response closes the connection: one has asked for that, and no
     /// request that was started early waits behind it.
     pub(super) fn closes_after(&self, close_requested: bool) -> bool {
@@ -158,11 +179,12 @@
         start: impl Fn(&Request<()>) -> Option<T>,
     ) -> Poll<ReadAhead> {
         let mut state = self.lock();
-        let (consumed, closing) = (state.received - state.buffered.len() as u64, state.closing);
+        let consumed = state.received - state.buffered.len() as u64;
+        let may_start = !state.closing && state.passing == 0;
         for pipelined in &mut state.pipelined {
             if let PipelinedRequest::Ready(request, offset) = pipelined
                 && consumed >= *offset
-                && !closing
+                && may_start
                 && let Some(started) = start(request)
             {
                 let request = std::mem::take(request);
@@ -182,6 +204,16 @@
     }
 }
 
+/// Marks a response as being passed on.
+#[derive(Debug)]
+pub(super) struct PassingGuard<T>(ReadAheadStream<T>);
+
+impl<T> Drop for PassingGuard<T> {
+    fn drop(&mut self) {
+        self.0.lock().passing -= 1;
+    }
+}
+
 impl<T> StreamState<T> {
     fn started(&self) -> usize {
         let is_started = |p: &&PipelinedRequest<T>| matches!(p, PipelinedRequest::Started(..));
@@ -217,7 +249,7 @@
             self.head.extend_from_slice(bytes);
         }
         while self.framing == Framing::Head && !self.head.is_empty() {
-            match parse_head(&self.head) {
+            match parse_head(&self.head, self.limits) {
                 Head::Partial => return,
                 Head::Unsupported => self.framing = Framing::Opaque,
                 // A request left out here would misalign the queue with the requests that hyper
@@ -264,10 +296,13 @@
     Complete { body: u64, is_last: bool, length: usize, request: Option<Box<Request<()>>> },
 }
 
-fn parse_head(bytes: &[u8]) -> Head {
+fn parse_head(bytes: &[u8], limits: HeadLimits) -> Head {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
+    let mut parsed = httparse::Request::new(&mut headers[..limits.headers.min(MAX_HEADERS)]);
     let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) if length > limits.bytes => {
+            return Head::Unsupported;
+        }
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => {
             return if bytes.len() < MAX_READ_AHEAD / 2 {
@@ -282,21 +317,31 @@
     let Some(request) = to_request(&parsed) else { return Head::Unsupported };
     let headers = request.headers();
     let special = [EXPECT, TRANSFER_ENCODING, UPGRADE];
-    if special.iter().any(|name| headers.contains_key(name)) {
+    // What follows `CONNECT` belongs to the tunnel.
+    if request.method() == Method::CONNECT || special.iter().any(|name| headers.contains_key(name))
+    {
         return Head::Unsupported;
     }
-    let body = match headers.get(CONTENT_LENGTH) {
-        None => 0,
-        Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let body = match (lengths.next(), lengths.next()) {
+        (None, _) => 0,
+        (Some(value), None) => match parse_length(value) {
             Some(body) => body,
             None => return Head::Unsupported,
         },
+        _ => return Head::Unsupported,
     };
     let has_no_body = body == 0 && matches!(*request.method(), Method::GET | Method::HEAD);
     let is_last = is_http_1_0 || has_close(headers);
     Head::Complete { body, is_last, length, request: has_no_body.then(|| Box::new(request)) }
 }
 
+/// Parses a body length. Hyper closes the connection behind one with any character but digits.
+pub(super) fn parse_length(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?;
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 /// Returns whether the headers ask for the connection to be closed.
 pub(super) fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
