Believe a refusal only if no other response follows it

Callers were told "not run, try again", and an unsafe request was sent to a second target, when a target wrote a refusal with the request's id and its true response behind it.

Cause: a refusal was believed by its head, and its connection kept or dropped without a look at what came next.

Change: a refusal is read to its end, for 20 ms at most, and rejected if another response begins behind it. Bytes that begin no response don't count: they belong to no request. A refusal with a body now leaves its connection to the pool.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -2,12 +2,12 @@
 
 use super::{
     pooled_body::PooledBody,
-    pooled_connection::{ExchangeId, PooledConnection},
+    pooled_connection::{ExchangeId, PooledConnection, ResponseEnd},
     response_framing::check_framing,
     to_body,
 };
-use http::{Request, Response, response::Parts};
-use http_body_util::BodyExt;
+use http::{Request, Response, header::CONTENT_LENGTH, response::Parts};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::{
     collections::BTreeMap,
@@ -16,7 +16,7 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use steer::{Body, SendError};
+use steer::{Body, SendError, empty_body};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -24,6 +24,16 @@
 
 type IdleConnections = BTreeMap<SocketAddr, Vec<(PooledConnection, Instant)>>;
 
+/// How much of an accepted response must have arrived before it is returned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Acceptance {
+    /// All of it, and no other response behind it on the connection; its body is discarded. For a
+    /// response that states that the request wasn't run: if another one follows, either may be true.
+    Alone,
+    /// Its head; the body is passed on as it arrives.
+    Head,
+}
+
 /// Reuses idle connections, each for one request at a time. A connection is closed instead of being
 /// reused if its response failed or wasn't read to its end.
 ///
@@ -47,6 +57,11 @@
     /// Idle time after which a connection is no longer reused. It is closed when the next request to
     /// its address looks for an idle connection.
     pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
+    /// Largest body of a response that is accepted alone.
+    const MAX_DISCARDED: usize = 64 << 10;
+    /// Time for which the end of a response that is accepted alone is awaited. After it, the response
+    /// is returned and its connection closed.
+    const ALONE_TIMEOUT: Duration = Duration::from_millis(20);
     /// Timeout for an idle connection to become ready for its next request.
     const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
@@ -96,7 +111,7 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        self.send_checked(address, request, |_| Ok(())).await
+        self.send_checked(address, request, |_| Ok(Acceptance::Head)).await
     }
 
     /// Sends a request like [`Self::send`], and accepts the response only if `check` does. The
@@ -104,12 +119,13 @@
     ///
     /// # Errors
     ///
-    /// Those of [`Self::send`], and [`SendError::Sent`] for a response that `check` rejects.
+    /// Those of [`Self::send`], and [`SendError::Sent`] for a response that `check` rejects, or that
+    /// it accepts only alone if it isn't.
     pub async fn send_checked(
         self: &Arc<Self>,
         address: SocketAddr,
         mut request: Request<Body>,
-        check: impl FnOnce(&Parts) -> Result<(), &'static str>,
+        check: impl FnOnce(&Parts) -> Result<Acceptance, &'static str>,
     ) -> Result<Response<Body>, SendError> {
         let id = request.extensions().get::<ExchangeId>().cloned();
         loop {
@@ -125,9 +141,14 @@
                         return Err(SendError::sent("the server switched protocols"));
                     }
                     check_framing(&mut head.headers).map_err(SendError::sent)?;
-                    check(&head).map_err(SendError::sent)?;
+                    let acceptance = check(&head).map_err(SendError::sent)?;
                     let response = Response::from_parts(head, body);
-                    return Ok(self.to_pooled_response(address, connection, response));
+                    return match acceptance {
+                        Acceptance::Alone => self.read_alone(address, connection, response).await,
+                        Acceptance::Head => {
+                            Ok(self.to_pooled_response(address, connection, response))
+                        }
+                    };
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => request = unsent,
@@ -140,6 +161,28 @@
         }
     }
 
+    /// Discards the body of a response, and fails if another response follows on its connection.
+    async fn read_alone(
+        &self,
+        address: SocketAddr,
+        mut connection: PooledConnection,
+        response: Response<Incoming>,
+    ) -> Result<Response<Body>, SendError> {
+        let (mut head, body) = response.into_parts();
+        // A body that breaks off doesn't change what the head says.
+        let end = async {
+            let body = Limited::new(body, Self::MAX_DISCARDED).collect().await;
+            if body.is_err() { ResponseEnd::Closed } else { connection.response_end().await }
+        };
+        match timeout(Self::ALONE_TIMEOUT, end).await {
+            Ok(ResponseEnd::Idle) => self.check_in(address, connection),
+            Ok(ResponseEnd::Followed) => return Err(SendError::sent("another response follows")),
+            Ok(ResponseEnd::Closed) | Err(_) => {}
+        }
+        head.headers.remove(CONTENT_LENGTH);
+        Ok(Response::from_parts(head, empty_body()))
+    }
+
     fn to_pooled_response(
         self: &Arc<Self>,
         address: SocketAddr,
--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -1,6 +1,6 @@
 //! Adapter of the target port over HTTP/1.1.
 
-use super::{ConnectionPool, strip_hop_headers, to_origin_form};
+use super::{Acceptance, ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response, response::Parts};
 use http_body_util::{BodyExt, Limited};
@@ -50,7 +50,7 @@
         &self,
         target: SocketAddr,
         mut request: Request<Body>,
-        check: impl FnOnce(&Parts) -> Result<(), &'static str>,
+        check: impl FnOnce(&Parts) -> Result<Acceptance, &'static str>,
     ) -> Result<Response<Body>, SendError> {
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
@@ -67,7 +67,7 @@
         target: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        self.send_checked(target, request, |_| Ok(())).await
+        self.send_checked(target, request, |_| Ok(Acceptance::Head)).await
     }
 
     async fn read_load(&self, target: SocketAddr) -> Result<LoadReport, LoadError> {
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     connection_end::ConnectionEnd,
-    connection_pool::ConnectionPool,
+    connection_pool::{Acceptance, ConnectionPool},
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
--- a/crates/adapters/src/http/pooled_connection.rs
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -10,6 +10,7 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use std::future::poll_fn;
 use steer::Body;
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
@@ -18,6 +19,8 @@
 const MAX_HEADERS: usize = 100;
 /// Largest size in bytes of the head of a response, and of the parser's buffer.
 const MAX_HEAD: usize = 64 << 10;
+/// First bytes of a response.
+const VERSION_PREFIX: &[u8] = b"HTTP/";
 
 /// Id by which the response to a request is recognized; an extension of the request. A connection
 /// isn't reused for a request with the same id as the one before, because a second copy of the
@@ -47,7 +50,19 @@
     latest: Option<ExchangeId>,
     progress: ReadProgress,
     sender: SendRequest<Body>,
-    _task: AbortOnDropHandle<()>,
+    /// Returns whether another response began behind the last one.
+    task: AbortOnDropHandle<bool>,
+}
+
+/// State of a connection after the end of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ResponseEnd {
+    /// The connection is closed.
+    Closed,
+    /// Another response began behind it.
+    Followed,
+    /// The connection can carry a request.
+    Idle,
 }
 
 impl PooledConnection {
@@ -55,14 +70,17 @@
     pub(super) async fn open(stream: TcpStream) -> hyper::Result<Self> {
         let progress = ReadProgress::default();
         let stream = LimitedStream::new(stream, progress.clone());
-        let (sender, connection) = Builder::new()
+        let (sender, mut connection) = Builder::new()
             .max_buf_size(MAX_HEAD)
             .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(stream))
             .await?;
         // The pending request receives any error, so the result isn't needed.
-        let task = tokio::spawn(async { drop(connection.await) });
-        Ok(Self { latest: None, progress, sender, _task: AbortOnDropHandle::new(task) })
+        let task = tokio::spawn(async move {
+            let _ended = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            connection.into_parts().read_buf.starts_with(VERSION_PREFIX)
+        });
+        Ok(Self { latest: None, progress, sender, task: AbortOnDropHandle::new(task) })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -83,6 +101,17 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Waits until the connection is idle or closed after a response that was read to its end.
+    pub(super) async fn response_end(&mut self) -> ResponseEnd {
+        if self.ready().await {
+            return ResponseEnd::Idle;
+        }
+        match (&mut self.task).await {
+            Ok(true) => ResponseEnd::Followed,
+            Ok(false) | Err(_) => ResponseEnd::Closed,
+        }
+    }
+
     /// Returns whether a request with this id may be sent.
     pub(super) fn may_carry(&self, id: Option<&ExchangeId>) -> bool {
         id.is_none() || self.latest.as_ref() != id
