Use a new connection for each request without an id

Callers that send no id were told "not run, try again" for a request that the target was running, when the target wrote an earlier refusal once more.

Cause: without an id in the request, a response without one was believed, whatever its connection had carried before.

Evidence, before the change (a_refusal_repeated_for_a_request_without_id_is_never_believed): left: (1, [503, 503]) runs and statuses right: (1, [503, 200])

Change: such a request gets a connection that has carried nothing, on which no earlier response can come. Targets of the protocol refuse it with 400 anyway.

--- a/crates/adapters/src/http/pooled_connection.rs
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -23,21 +23,21 @@
 const VERSION_PREFIX: &[u8] = b"HTTP/";
 
 /// Id by which the response to a request is recognized; an extension of the request. A connection
-/// isn't reused for a request with the same id as the one before, because a second copy of the
-/// earlier response could not be told from the response to the new request.
+/// isn't reused for a request with the same id as the one before, or without an id, because a second
+/// copy of an earlier response could not be told from the response to the new request.
 ///
 /// ```
 /// let mut request = http::Request::new(());
 /// let id = http::HeaderValue::from_static("7");
-/// request.extensions_mut().insert(adapters::ExchangeId::new(id));
+/// request.extensions_mut().insert(adapters::ExchangeId::new(Some(id)));
 /// assert!(request.extensions().get::<adapters::ExchangeId>().is_some());
 /// ```
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ExchangeId(HeaderValue);
+pub struct ExchangeId(Option<HeaderValue>);
 
 impl ExchangeId {
-    /// Creates an id from the value of the header that servers echo.
-    pub fn new(value: HeaderValue) -> Self {
+    /// Creates an id from the value of the header that servers echo; `None` if it is missing.
+    pub fn new(value: Option<HeaderValue>) -> Self {
         Self(value)
     }
 }
@@ -112,9 +112,9 @@
         }
     }
 
-    /// Returns whether a request with this id may be sent.
+    /// Returns whether another request, with this id, may be sent.
     pub(super) fn may_carry(&self, id: Option<&ExchangeId>) -> bool {
-        id.is_none() || self.latest.as_ref() != id
+        id.is_none_or(|id| id.0.is_some() && self.latest.as_ref() != Some(id))
     }
 
     /// Records that a part of the response's body has been taken.
