Read load reports from successful responses only

A target that answered a request for its load with 404 or 503 and a JSON body counted as idle.

Cause: the status was not read, and all fields of a report have defaults.

Evidence, before the change (a_load_report_is_successful): 404 None: Ok(LoadReport { busy: 0, leaving: false, queued: 0 })

--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -2,7 +2,7 @@
 
 use super::{Acceptance, ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
-use http::{Request, Response, response::Parts};
+use http::{Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use std::{net::SocketAddr, sync::Arc};
@@ -88,6 +88,9 @@
             .map_err(|_| failed("the address is not a valid Host header".into()))?;
         request.headers_mut().insert(http::header::HOST, host);
         let response = self.pool.send(target, request).await.map_err(|e| failed(e.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(failed(format!("the target responded with {}", response.status())));
+        }
         let body = Limited::new(response.into_body(), Self::MAX_LOAD_BYTES);
         let bytes = body.collect().await.map_err(|e| failed(e.to_string()))?.to_bytes();
         let load: WireLoad = serde_json::from_slice(&bytes).map_err(|e| failed(e.to_string()))?;
--- a/crates/adapters/tests/target_contract.rs
+++ b/crates/adapters/tests/target_contract.rs
@@ -339,3 +339,14 @@
         assert_eq!(pool.idle(), 0);
     }
 }
+
+/// A refusal whose body looks like a report says nothing about the target's load.
+#[tokio::test]
+async fn a_load_report_is_successful() {
+    for status in ["404 None", "503 Full", "206 Part"] {
+        let script = format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\n{{}}").leak();
+        let address = start(Script::Respond(script)).await;
+        let report = HttpTargets::new(ConnectionPool::new()).read_load(address).await;
+        assert!(report.is_err(), "{status}: {report:?}");
+    }
+}
