Never start a request that lies in the body of another one

A caller could have a request run that hid in the body of another: behind a slow request, one with two lengths, of which the first is 0, and the hidden request as its body. Both were started at targets before the outer one got its 400.

Cause: reading ahead took the first Content-Length and accepted a sign; the HTTP parser refuses both, but only once the earlier response is written. A length that is repeated made each later request run twice, as the parser's request didn't equal the one read ahead.

Evidence, before the change (a_request_with_conflicting_lengths_starts_nothing): two lengths: ["200", "400"], started ["/slow", "/outer", "/inner"] signed length: ["200", "400"], started ["/slow", "/outer", "/inner"] same length twice: ["200", "200", "200"], started ["/slow", "/outer", "/inner", "/outer", "/inner"] After it: started ["/slow"]; the last one starts each request once.

Change: a stream whose length isn't one number is left to the parser.

--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -285,18 +285,24 @@
     if special.iter().any(|name| headers.contains_key(name)) {
         return Head::Unsupported;
     }
-    let body = match headers.get(CONTENT_LENGTH) {
-        None => 0,
-        Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
-            Some(body) => body,
-            None => return Head::Unsupported,
-        },
-    };
+    let Some(body) = parse_length(headers) else { return Head::Unsupported };
     let has_no_body = body == 0 && matches!(*request.method(), Method::GET | Method::HEAD);
     let is_last = is_http_1_0 || has_close(headers);
     Head::Complete { body, is_last, length, request: has_no_body.then(|| Box::new(request)) }
 }
 
+/// Parses the length of a body as strictly as hyper: bytes that are part of a body must never be
+/// parsed as a request. Returns `None` if the length is invalid or repeated.
+fn parse_length(headers: &HeaderMap) -> Option<u64> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let Some(length) = lengths.next() else { return Some(0) };
+    let is_number = length.as_bytes().iter().all(u8::is_ascii_digit);
+    if lengths.next().is_some() || !is_number {
+        return None;
+    }
+    length.to_str().ok()?.parse().ok()
+}
+
 /// Returns whether the headers ask for the connection to be closed.
 pub(super) fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
--- a/crates/adapters/src/http/response_framing.rs
+++ b/crates/adapters/src/http/response_framing.rs
@@ -31,7 +31,7 @@
 }
 
 /// Parses the length of a body, which may be repeated. Returns `None` if it has several values.
-pub(super) fn parse_length(headers: &HeaderMap) -> Option<u64> {
+fn parse_length(headers: &HeaderMap) -> Option<u64> {
     let values = headers.get_all(CONTENT_LENGTH).iter().map(HeaderValue::to_str);
     let mut length = None;
     for value in values {
