Close connections that send no request

A caller that opened a connection and sent nothing, or only the preface of HTTP/2, kept its slot of the listener for as long as it liked: 20,000 such connections shut all others out.

Cause: the timeout for heads belongs to HTTP/1.1, whose parser starts once the first bytes have told the version.

Evidence, before the change (an_endless_request_loses_its_connection): nothing, fast: no response, still open half a preface, fast: no response, still open a preface, fast: HTTP/2 frames, still open settings, fast: HTTP/2 frames, still open After it: closed. The other rows hold before and after: heads, continuation frames, chunk sizes, extensions and trailers without end, fast and slow.

An HTTP/2 connection that has sent one may stay idle, as before.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -34,6 +34,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    time::sleep,
 };
 
 /// Returns whether a pipelined request may be started while an earlier one is being processed.
@@ -49,7 +50,7 @@
 pub struct ListenerLimits {
     /// Maximum number of concurrent connections.
     pub connections: usize,
-    /// Timeout for reading the head of a request.
+    /// Timeout for reading the head of a request, and for the first request of a connection.
     pub head_timeout: Duration,
     /// Largest request head in bytes.
     pub max_head: usize,
@@ -160,7 +161,7 @@
                     });
                 }
                 // Out of file descriptors; wait until some are freed.
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+                Err(_) => sleep(Duration::from_millis(50)).await,
             }
         }
     }
@@ -195,6 +196,8 @@
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
         let unframed = Arc::new(AtomicBool::new(false));
         let is_unframed = Arc::clone(&unframed);
+        let requested = Arc::new(AtomicBool::new(false));
+        let is_requested = Arc::clone(&requested);
         let stream: ReadAheadStream<WaitingResponse> =
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
         let start = |head: &Request<()>| {
@@ -207,6 +210,7 @@
         let (pipelined, serve) = (stream.clone(), handler.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
+            is_requested.store(true, Ordering::Relaxed);
             is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             let next = pipelined.pop_pipelined();
             let (stream, serve) = (pipelined.clone(), serve.clone());
@@ -242,6 +246,8 @@
                 observer(&ConnectionEnd { caller, error, unanswered }.into());
             }
         };
+        // Hyper's timeout starts with HTTP/1.1, which takes the first bytes to detect.
+        let mut head_timeout = pin!(sleep(limits.head_timeout));
         let mut closing = false;
         loop {
             tokio::select! {
@@ -264,6 +270,11 @@
                     connection.as_mut().graceful_shutdown();
                     closing = false;
                 }
+                () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
+                    if !requested.load(Ordering::Relaxed) {
+                        return;
+                    }
+                }
                 Ok(()) = phase.changed() => {
                     let now = *phase.borrow_and_update();
                     if now == ListenerPhase::Open {
