--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -1,12 +1,15 @@
 //! Adapter of the target port over HTTP/1.1.
 
-use super::{ConnectionPool, strip_hop_headers, to_origin_form};
+use super::{Acceptance, ConnectionPool, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
-use http::{Request, Response, response::Parts};
+use http::{Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use std::{net::SocketAddr, sync::Arc};
-use steer::{Body, LoadError, LoadReport, SendError, Targets, empty_body};
+use steer::{Body, LoadError, LoadReport, REQUEST_ID_HEADER, SendError, Targets, empty_body};
+
+/// Why the response to another request is rejected.
+pub(crate) const CROSSED: &str = "the response belongs to another request";
 
 /// Sends requests to targets, and reads their load reports.
 #[derive(Clone, Debug)]
@@ -50,7 +53,7 @@
         &self,
         target: SocketAddr,
         mut request: Request<Body>,
-        check: impl FnOnce(&Parts) -> Result<(), &'static str>,
+        check: impl FnOnce(&Parts) -> Result<Acceptance, &'static str>,
     ) -> Result<Response<Body>, SendError> {
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
@@ -67,7 +70,12 @@
         target: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        self.send_checked(target, request, |_| Ok(())).await
+        let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+        let check = |head: &Parts| match head.headers.get(REQUEST_ID_HEADER) {
+            Some(returned) if Some(returned) != id.as_ref() => Err(CROSSED),
+            _ => Ok(Acceptance::Head),
+        };
+        self.send_checked(target, request, check).await
     }
 
     async fn read_load(&self, target: SocketAddr) -> Result<LoadReport, LoadError> {
@@ -80,6 +88,9 @@
             .map_err(|_| failed("the address is not a valid Host header".into()))?;
         request.headers_mut().insert(http::header::HOST, host);
         let response = self.pool.send(target, request).await.map_err(|e| failed(e.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(failed(format!("the target responded with {}", response.status())));
+        }
         let body = Limited::new(response.into_body(), Self::MAX_LOAD_BYTES);
         let bytes = body.collect().await.map_err(|e| failed(e.to_string()))?.to_bytes();
         let load: WireLoad = serde_json::from_slice(&bytes).map_err(|e| failed(e.to_string()))?;
--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -39,6 +39,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    time::sleep,
 };
 
 /// Returns whether a pipelined request may be started while an earlier one is being processed.
@@ -54,7 +55,7 @@
 pub struct ListenerLimits {
     /// Maximum number of concurrent connections.
     pub connections: usize,
-    /// Timeout for reading the head of a request.
+    /// Timeout for reading the head of a request, and for the first request of a connection.
     pub head_timeout: Duration,
     /// Largest request head in bytes.
     pub max_head: usize,
@@ -165,7 +166,7 @@
                     });
                 }
                 // Out of file descriptors; wait until some are freed.
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+                Err(_) => sleep(Duration::from_millis(50)).await,
             }
         }
     }
@@ -201,6 +202,8 @@
         let unframed = Arc::new(AtomicBool::new(false));
         let is_unframed = Arc::clone(&unframed);
         let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
+        let requested = Arc::new(AtomicBool::new(false));
+        let is_requested = Arc::clone(&requested);
         let stream: ReadAheadStream<WaitingResponse> =
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
@@ -213,6 +216,7 @@
         let (pipelined, serve) = (stream.clone(), handler.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
+            is_requested.store(true, Ordering::Relaxed);
             is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             let next = pipelined.pop_pipelined();
             let (stream, serve) = (pipelined.clone(), serve.clone());
@@ -250,6 +254,8 @@
                 observer(&ConnectionEnd { caller, error, unanswered }.into());
             }
         };
+        // Hyper's timeout starts with HTTP/1.1, which takes the first bytes to detect.
+        let mut head_timeout = pin!(sleep(limits.head_timeout));
         let mut closing = false;
         loop {
             tokio::select! {
@@ -272,6 +278,11 @@
                     connection.as_mut().graceful_shutdown();
                     closing = false;
                 }
+                () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
+                    if !requested.load(Ordering::Relaxed) {
+                        return;
+                    }
+                }
                 Ok(()) = phase.changed() => {
                     let now = *phase.borrow_and_update();
                     if now == ListenerPhase::Open {
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -12,12 +12,14 @@
 mod pooled_connection;
 mod read_ahead_stream;
 mod read_limit;
+mod response_framing;
 mod waiting_response;
 mod write_timeout;
 
+pub(crate) use self::http_targets::CROSSED;
 pub use self::{
     connection_end::ConnectionEnd,
-    connection_pool::ConnectionPool,
+    connection_pool::{Acceptance, ConnectionPool},
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -322,20 +322,23 @@
     {
         return Head::Unsupported;
     }
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let body = match (lengths.next(), lengths.next()) {
-        (None, _) => 0,
-        (Some(value), None) => match parse_length(value) {
-            Some(body) => body,
-            None => return Head::Unsupported,
-        },
-        _ => return Head::Unsupported,
-    };
+    let Some(body) = body_length(headers) else { return Head::Unsupported };
     let has_no_body = body == 0 && matches!(*request.method(), Method::GET | Method::HEAD);
     let is_last = is_http_1_0 || has_close(headers);
     Head::Complete { body, is_last, length, request: has_no_body.then(|| Box::new(request)) }
 }
 
+/// Reads the length of a request's body as strictly as hyper: bytes that are part of a body must
+/// never be parsed as a request. Returns `None` if the length is invalid or repeated.
+fn body_length(headers: &HeaderMap) -> Option<u64> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    match (lengths.next(), lengths.next()) {
+        (None, _) => Some(0),
+        (Some(length), None) => parse_length(length),
+        _ => None,
+    }
+}
+
 /// Parses a body length. Hyper closes the connection behind one with any character but digits.
 pub(super) fn parse_length(value: &HeaderValue) -> Option<u64> {
     let text = value.to_str().ok()?;
