Ask again before a request is sent whether its target may get it

Callers' requests that waited for a connection reached a target that had said meanwhile that it leaves, or had asked for a pause: up to a second after the answer, in any number.

Cause: a target is chosen, then a connection is looked for or opened, and nothing asked again once it was there. Change: the request carries a SendCheck, which the pool asks with the connection open. TargetAccess::confirm decides, and admit is built on it. A withheld request is unsent: it goes to another target without a retry of the budget, and its target isn't recorded as lost. A backoff and the quota of a cold target don't matter to a request that is already counted.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -15,7 +15,7 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use steer::{Body, SendError};
+use steer::{Body, SendCheck, SendError};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -85,6 +85,7 @@
 
     /// Sends a request and returns the response once its head has arrived. If a reused connection
     /// fails before any byte of the request was sent, the request is retried on another connection.
+    /// A request whose [`SendCheck`] fails once a connection is open isn't sent.
     ///
     /// # Errors
     ///
@@ -116,6 +117,11 @@
                 Ok(connection) => connection,
                 Err(reason) => return Err(SendError::not_sent(reason, request)),
             };
+            let confirmed = request.extensions().get().map_or(Ok(()), SendCheck::confirm);
+            if let Err(cause) = confirmed {
+                self.check_in(address, connection);
+                return Err(SendError::not_sent(format!("withheld: {cause}"), request));
+            }
             match connection.send(request, id.clone()).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -236,7 +236,7 @@
                         last = Some(refusal);
                         continue;
                     }
-                    return Err(refusal);
+                    return Err(self.await_return(refusal, query));
                 }
                 AttemptResult::Lost(refusal) if self.route.repeat != RepeatRule::Idempotent => {
                     return Err(refusal);
@@ -305,6 +305,7 @@
         }
         let identity = TargetIdentity { remaining, name: target.name.clone() };
         request.extensions_mut().insert(identity);
+        request.extensions_mut().insert(guard.send_check());
         let Some(permit) = SendPermit::repeatable(self.route.repeat) else {
             return AttemptResult::NotRun(ErrorKind::KeyMissing.into());
         };
@@ -321,7 +322,10 @@
                 other => other,
             },
             Err(AttemptError::NotSent(attempt, reason)) => {
-                guard.record_lost();
+                match guard.send_check().confirm() {
+                    Ok(()) => guard.record_lost(),
+                    Err(_) => self.router.ports().meter.count("placement.withheld", 1),
+                }
                 self.log_failed_attempt(guard, &reason);
                 let refusal = Refusal::new(ErrorKind::NoRoom, reason).retry_after(MAX_RETRY_AFTER);
                 AttemptResult::Unreached(attempt.into_request(), refusal)
--- a/crates/steer/src/placement/hold.rs
+++ b/crates/steer/src/placement/hold.rs
@@ -32,6 +32,9 @@
     /// The target has just returned from a pause and has enough requests for now.
     #[display("returning")]
     Returning,
+    /// The incarnation is no longer registered.
+    #[display("unregistered")]
+    Unregistered,
 }
 
 /// Why a target gets no requests now, what that is based on, and when it ends.
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod placement_query;
 mod requested_pause;
 mod retired_targets;
+mod send_check;
 mod send_window;
 mod shift_guard;
 mod target_access;
@@ -33,6 +34,7 @@
     placement_guard::PlacementGuard,
     placement_query::PlacementQuery,
     requested_pause::RequestedPause,
+    send_check::SendCheck,
     send_window::SendWindow,
     shift_guard::ShiftGuard,
     target_access::TargetAccess,
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -1,7 +1,7 @@
 //! Accounting of a request at its target.
 
 use super::{
-    Belief, LoadSample, PauseRequest, TargetOutcome, TargetRecord, TargetTable,
+    Belief, LoadSample, PauseRequest, SendCheck, TargetOutcome, TargetRecord, TargetTable,
     target_table::TargetKey,
 };
 use std::{sync::Arc, time::Duration};
@@ -39,6 +39,11 @@
         self.returned
     }
 
+    /// Returns the check whether the request may still be sent when a connection is open.
+    pub fn send_check(&self) -> SendCheck {
+        SendCheck::new(Arc::clone(&self.table), self.key.clone())
+    }
+
     /// Returns the selected target.
     pub fn target(&self) -> &TargetRecord {
         &self.target
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -67,6 +67,35 @@
         in_flight: u32,
         has_quota: impl FnOnce() -> bool,
     ) -> Result<Admission, Hold> {
+        let admission = self.confirm(now, in_flight)?;
+        if let Some((belief, until)) = self.health.back_off(now) {
+            return Err(Hold { belief, cause: HoldCause::BackOff, until: Some(until) });
+        }
+        match self.cold.filter(|cold| now < cold.until) {
+            Some(ColdLimit { belief, until }) if !has_quota() => {
+                Err(Hold { belief, cause: HoldCause::Cold, until: Some(until) })
+            }
+            _ => Ok(admission),
+        }
+    }
+
+    /// Confirms that a request that was admitted earlier may still be sent, given this VM's other
+    /// requests in flight at the target. It has a connection, so a backoff doesn't matter.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which it must not be sent.
+    ///
+    /// ```
+    /// use steer::{HoldCause, TargetAccess};
+    /// let now = tokio::time::Instant::now();
+    /// let mut access = TargetAccess::default();
+    /// access.record_lost(now);
+    /// assert!(access.confirm(now, 0).is_ok());
+    /// access.record_leaving(now);
+    /// assert_eq!(access.confirm(now, 0).unwrap_err().cause, HoldCause::Leaving);
+    /// ```
+    pub fn confirm(&self, now: Instant, in_flight: u32) -> Result<Admission, Hold> {
         let life = match &self.life {
             AnyLife::Accepting(life) => life,
             AnyLife::Departing(life) => return Err(life.hold()),
@@ -78,16 +107,7 @@
         if let Some(belief) = self.misdirected {
             return Err(endless(belief, HoldCause::Misdirected));
         }
-        let admission = life.admit(now, in_flight)?;
-        if let Some((belief, until)) = self.health.back_off(now) {
-            return Err(Hold { belief, cause: HoldCause::BackOff, until: Some(until) });
-        }
-        match self.cold.filter(|cold| now < cold.until) {
-            Some(ColdLimit { belief, until }) if !has_quota() => {
-                Err(Hold { belief, cause: HoldCause::Cold, until: Some(until) })
-            }
-            _ => Ok(admission),
-        }
+        life.admit(now, in_flight)
     }
 
     /// Returns the moving average of the failure rate, from 0 to 1.
--- a/crates/steer/src/placement/target_state.rs
+++ b/crates/steer/src/placement/target_state.rs
@@ -46,13 +46,26 @@
         evacuated: &BTreeMap<AvailabilityZoneName, Instant>,
         quota: impl FnOnce() -> u32,
     ) -> Result<Admission, Hold> {
-        if let Some(since) = evacuated.get(&self.record.zone) {
-            let belief = Belief::new(BeliefSource::Evacuation, *since);
-            return Err(Hold { belief, cause: HoldCause::Evacuated, until: None });
-        }
+        self.check_zone(evacuated)?;
         self.access.admit(now, self.load.own(), || self.sends.has_room(now, quota()))
     }
 
+    /// Confirms that a request that is already counted may still be sent.
+    pub(super) fn confirm(
+        &self,
+        now: Instant,
+        evacuated: &BTreeMap<AvailabilityZoneName, Instant>,
+    ) -> Result<Admission, Hold> {
+        self.check_zone(evacuated)?;
+        self.access.confirm(now, self.load.own().saturating_sub(1))
+    }
+
+    fn check_zone(&self, evacuated: &BTreeMap<AvailabilityZoneName, Instant>) -> Result<(), Hold> {
+        let Some(since) = evacuated.get(&self.record.zone) else { return Ok(()) };
+        let belief = Belief::new(BeliefSource::Evacuation, *since);
+        Err(Hold { belief, cause: HoldCause::Evacuated, until: None })
+    }
+
     /// Counts an admitted request.
     pub(super) fn begin(&mut self, _admission: Admission, now: Instant) {
         self.load.begin();
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -1,9 +1,9 @@
 //! State of all targets in the fleet, and selection among them.
 
 use super::{
-    Admission, BeliefSource, Distance, LoadSample, ObjectHash, PauseRequest, PlacementError,
-    PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord, WorkTime,
-    hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
+    Admission, BeliefSource, Distance, HoldCause, LoadSample, ObjectHash, PauseRequest,
+    PlacementError, PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord,
+    WorkTime, hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
     target_state::TargetState,
 };
 use crate::{
@@ -359,6 +359,15 @@
         }
     }
 
+    /// Confirms that a placed request may still be sent.
+    pub(super) fn confirm(&self, key: &TargetKey) -> Result<(), HoldCause> {
+        let inner = self.lock();
+        let state = inner.targets.get(&key.service).and_then(|targets| targets.get(&key.name));
+        let state = state.filter(|state| state.record.born == key.born);
+        let state = state.ok_or(HoldCause::Unregistered)?;
+        state.confirm(Instant::now(), &inner.evacuated).map(drop).map_err(|hold| hold.cause)
+    }
+
     pub(super) fn release(&self, key: &TargetKey) {
         self.with_state(key, |state| state.load.end());
     }
--- a/crates/steer/tests/target_access.rs
+++ b/crates/steer/tests/target_access.rs
@@ -6,6 +6,7 @@
 use quickcheck::{Arbitrary, Gen};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt::Write,
     sync::Arc,
     time::Duration,
 };
@@ -83,11 +84,21 @@
     paused: BTreeMap<(String, u64), Instant>,
 }
 
+impl NaiveBounds {
+    /// Checks that a request may start at an incarnation.
+    fn check(&self, key: &(String, u64), step: &str) {
+        assert!(!self.left.contains(key), "{key:?} leaves: {step}");
+        let until = self.paused.get(key);
+        assert!(until.is_none_or(|until| *until <= Instant::now()), "{key:?} pauses: {step}");
+    }
+}
+
 fn incarnation(guard: &PlacementGuard) -> (String, u64) {
     (guard.target().name.to_string(), guard.target().born)
 }
 
-async fn play(events: &[Event]) {
+/// Plays the events and returns the table after them.
+async fn play(events: &[Event]) -> Arc<TargetTable> {
     let targets = target_table_of("entry-0");
     let mut bounds = NaiveBounds::default();
     let mut running: Vec<PlacementGuard> = Vec::new();
@@ -98,6 +109,9 @@
             Event::Answer { failed } => {
                 if let Some(guard) = running.pop() {
                     guard.record_response(None, failed);
+                    if !failed {
+                        guard.record_work();
+                    }
                 }
             }
             Event::Configure => targets.set_rules(&RouteTable::new(i as u64 + 2).service(
@@ -129,10 +143,7 @@
                 let Ok(guard) = targets.place_request(&PlacementQuery::new("briefs")) else {
                     continue;
                 };
-                let key = incarnation(&guard);
-                assert!(!bounds.left.contains(&key), "step {i}: {key:?} leaves, in {events:?}");
-                let until = bounds.paused.get(&key).copied().unwrap_or(now);
-                assert!(until <= now, "step {i}: {key:?} pauses, in {events:?}");
+                bounds.check(&incarnation(&guard), &format!("placed at step {i} of {events:?}"));
                 running.push(guard);
             }
             Event::Register { born, leaving, name, sequence } => {
@@ -140,15 +151,24 @@
             }
             Event::Remove(name) => targets.remove(&format!("t-{name}").as_str().into()),
         }
+        // Each request could still be waiting for a connection.
+        for guard in running.iter().filter(|guard| guard.send_check().confirm().is_ok()) {
+            bounds.check(&incarnation(guard), &format!("confirmed at step {i} of {events:?}"));
+        }
     }
+    targets
+}
+
+fn series(seed: u64) -> Vec<Event> {
+    let mut events: Vec<Event> = Vec::arbitrary(&mut Gen::from_size_and_seed(120, seed));
+    events.insert(0, Event::Register { born: 0, leaving: false, name: 0, sequence: 0 });
+    events
 }
 
 #[tokio::test(start_paused = true)]
 async fn no_request_starts_at_a_target_past_its_bound() {
     for seed in 0..SERIES {
-        let mut events: Vec<Event> = Vec::arbitrary(&mut Gen::from_size_and_seed(120, seed));
-        events.insert(0, Event::Register { born: 0, leaving: false, name: 0, sequence: 0 });
-        play(&events).await;
+        play(&series(seed)).await;
     }
 }
 
@@ -221,3 +241,41 @@
         assert!(targets.place_request(&query).is_ok());
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_confirmed_only_while_its_target_may_get_it() {
+    type Change = fn(&TargetTable, &PlacementGuard);
+    let cases: [(&str, Change); 8] = [
+        ("no change", |_, _| ()),
+        ("leaves", |_, first| {
+            first.record_leaving(TargetOutcome::Ran);
+        }),
+        ("pauses", |_, first| {
+            first.record_pause(PauseRequest::For(Duration::from_secs(1)));
+        }),
+        ("connection lost", |_, first| first.record_lost()),
+        ("registered as leaving", |targets, _| targets.apply(record(1, 0, 1).leaving(true))),
+        ("removed", |targets, _| targets.remove(&"t-1".into())),
+        ("next incarnation", |targets, _| targets.apply(record(1, 1, 0))),
+        ("evacuated", |targets, _| targets.set_evacuated(["lis-a".into()].into())),
+    ];
+    let mut lines = String::new();
+    for (name, change) in cases {
+        let targets = target_table_of("entry-0");
+        targets.apply(record(1, 0, 0));
+        let place = || targets.place_request(&PlacementQuery::new("briefs")).unwrap();
+        let (first, second) = (place(), place());
+        change(&targets, &first);
+        writeln!(lines, "{name}: {:?}", second.send_check().confirm()).unwrap();
+    }
+    insta::assert_snapshot!(lines, @r"
+    no change: Ok(())
+    leaves: Err(Leaving)
+    pauses: Err(Paused)
+    connection lost: Ok(())
+    registered as leaving: Err(Leaving)
+    removed: Err(Unregistered)
+    next incarnation: Err(Unregistered)
+    evacuated: Err(Evacuated)
+    ");
+}
