--- a/crates/adapters/src/platform/http_platform.rs
+++ b/crates/adapters/src/platform/http_platform.rs
@@ -79,7 +79,7 @@
         let exchange = async {
             let response = self.pool.send(self.address, request).await.map_err(|e| match e {
                 SendError::NotSent { reason, .. } => PlatformError::Unavailable(reason),
-                SendError::Sent { reason } => PlatformError::Lost(reason),
+                SendError::Sent { reason, .. } => PlatformError::Lost(reason),
             })?;
             let (parts, body) = response.into_parts();
             let bytes =
--- a/crates/steer/src/flows/attempt.rs
+++ b/crates/steer/src/flows/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to run a request, as a typestate.
 
 use super::REQUEST_ID_HEADER;
-use crate::{Body, ErrorKind, Peers, Refusal, SendError, SendPermit, Targets};
+use crate::{Body, ErrorKind, Peers, Refusal, SendError, SendPermit, TargetReport, Targets};
 use http::{Request, Response};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::timeout;
@@ -20,7 +20,10 @@
 
 /// The request may have run.
 #[derive(Debug)]
-pub struct Sent;
+pub struct Sent {
+    /// What the target said of itself in a response that can't be passed on.
+    report: Option<TargetReport>,
+}
 
 /// The head of the response has arrived.
 #[derive(Debug)]
@@ -158,7 +161,9 @@
         Ok(Err(SendError::NotSent { reason, request })) => {
             Err(AttemptError::NotSent(Attempt::new(*request), reason))
         }
-        Ok(Err(SendError::Sent { .. })) => Err(Attempt::lost(ErrorKind::TargetFailed)),
+        Ok(Err(SendError::Sent { report, .. })) => {
+            Err(AttemptError::Sent(Attempt { state: Sent { report } }, ErrorKind::TargetFailed))
+        }
         Ok(Ok(response)) => Ok(Attempt { state: Answered { response } }),
     }
 }
@@ -166,7 +171,12 @@
 impl Attempt<Sent> {
     /// Creates the error for a request that was sent and may have run.
     pub(super) fn lost(kind: ErrorKind) -> AttemptError {
-        AttemptError::Sent(Self { state: Sent }, kind)
+        AttemptError::Sent(Self { state: Sent { report: None } }, kind)
+    }
+
+    /// Returns what the target said of itself in a response that can't be passed on.
+    pub fn report(&self) -> Option<TargetReport> {
+        self.state.report
     }
 
     /// Refuses the request, which may have run.
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -340,6 +340,9 @@
                 AttemptResult::Lost(sent.refuse_unknown(kind))
             }
             Err(AttemptError::Sent(sent, kind)) => {
+                if let Some(report) = sent.report() {
+                    self.record_availability(guard, &report);
+                }
                 if kind != ErrorKind::DeadlinePassed {
                     guard.record_lost();
                 }
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -195,9 +195,13 @@
     }
 
     /// Records a response and whether it was a failure.
-    pub fn record_response(&mut self, now: Instant, failed: bool) {
+    pub fn record_response(&mut self, failed: bool) {
         self.health.record_answer(failed);
-        if let (AnyLife::Accepting(life), false) = (&mut self.life, failed) {
+    }
+
+    /// Records that the target ran a request, which lets more requests follow after a pause.
+    pub fn record_run(&mut self, now: Instant) {
+        if let AnyLife::Accepting(life) = &mut self.life {
             life.record_run(now);
         }
     }
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -377,23 +377,25 @@
 
     /// Records the work time of one request, and that the target has its object cached.
     pub(super) fn record_work(&self, key: &TargetKey, time: Duration) {
+        let now = Instant::now();
         let mut inner = self.lock();
         // Clones the service name only on first use.
         match inner.work.get_mut(&key.service) {
             Some(work) => work.record(time),
             None => inner.work.entry(key.service.clone()).or_default().record(time),
         }
-        if let Some((object, state)) = key.object.zip(inner.state(key)) {
-            state.cached.record(object, Instant::now());
+        let Some(state) = inner.state(key) else { return };
+        state.access.record_run(now);
+        if let Some(object) = key.object {
+            state.cached.record(object, now);
         }
     }
 
     pub(super) fn record_response(&self, key: &TargetKey, load: Option<LoadSample>, failed: bool) {
-        let now = Instant::now();
         self.with_state(key, |state| {
-            state.access.record_response(now, failed);
+            state.access.record_response(failed);
             if let Some(sample) = load {
-                state.load.report(now, sample);
+                state.load.report(Instant::now(), sample);
             }
         });
     }
--- a/crates/steer/src/ports/send_error.rs
+++ b/crates/steer/src/ports/send_error.rs
@@ -1,6 +1,7 @@
 //! Errors of sending a request.
 
 use super::Body;
+use crate::TargetReport;
 use derive_more::{Display, Error};
 use http::Request;
 
@@ -27,6 +28,8 @@
     Sent {
         /// Description from the transport.
         reason: String,
+        /// What the target said of itself in a response that can't be passed on.
+        report: Option<TargetReport>,
     },
 }
 
@@ -48,6 +51,6 @@
     /// assert_eq!(steer::SendError::sent("reset").to_string(), "sent: reset");
     /// ```
     pub fn sent(reason: impl Into<String>) -> Self {
-        Self::Sent { reason: reason.into() }
+        Self::Sent { reason: reason.into(), report: None }
     }
 }
--- a/crates/steer/tests/target_access.rs
+++ b/crates/steer/tests/target_access.rs
@@ -222,7 +222,7 @@
     for _ in 0..4 {
         let guards: Vec<PlacementGuard> =
             std::iter::from_fn(|| targets.place_request(&query).ok()).take(100).collect();
-        guards.iter().take(1).for_each(|guard| guard.record_response(None, false));
+        guards.iter().take(1).for_each(PlacementGuard::record_work);
         placed.push(guards.len());
     }
     assert_eq!(placed, [1, 2, 4, 8]);
