Log pauses of targets beside many lines about requests

Operators found no line about a target's pause while many requests were refused, which is when targets pause.

Cause: lines about targets shared the limit of 40 a second with those about requests. Change: the router has a log of its own for lines about targets, with the same limit. What follows an unsent request moved to the guard.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -270,11 +270,10 @@
     }
 
     fn refuse_no_room(&self, reason: &PlacementError) -> Refusal {
+        let bounded = |wait: &Duration| (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let (cause, wait) = match reason {
-            PlacementError::BackOff { wait, .. } => {
-                ("back_off", (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
-            }
-            PlacementError::Full(wait) => ("full", (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+            PlacementError::BackOff { wait, .. } => ("back_off", bounded(wait)),
+            PlacementError::Full(wait) => ("full", bounded(wait)),
             PlacementError::NoTarget => ("none", MAX_RETRY_AFTER),
             PlacementError::Paused { wait, .. } => ("paused", *wait),
         };
@@ -325,9 +324,8 @@
                 other => other,
             },
             Err(AttemptError::NotSent(attempt, reason)) => {
-                match guard.send_check().confirm() {
-                    Ok(()) => guard.record_lost(),
-                    Err(_) => self.router.ports().meter.count("placement.withheld", 1),
+                if !guard.record_unsent() {
+                    self.router.ports().meter.count("placement.withheld", 1);
                 }
                 self.log_failed_attempt(guard, &reason);
                 let refusal = Refusal::new(ErrorKind::NoRoom, reason).retry_after(MAX_RETRY_AFTER);
@@ -433,10 +431,11 @@
         time: Option<Duration>,
     ) {
         self.router.ports().meter.count(&format!("placement.{counter}"), 1);
-        let Some(dropped) = self.router.try_acquire_log_line() else { return };
+        let log = self.router.target_log();
+        let Some(dropped) = log.try_acquire_line() else { return };
         let target = guard.target();
         let time = time.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
-        info!(self.router.log(), "placement: {text}"; "target" => %target.name,
+        info!(log.log(), "placement: {text}"; "target" => %target.name,
             "born" => target.born, "source" => %BeliefSource::Response, "for_ms" => time,
             "id" => &*self.caller.id, "dropped" => dropped);
     }
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -17,6 +17,8 @@
     fleet: FleetView,
     log: RequestLog,
     ports: RouterPorts,
+    /// Has a limit of its own, so that lines about requests don't displace the few about targets.
+    target_log: RequestLog,
     routes: RwLock<Option<Arc<RouteTable>>>,
     state: watch::Receiver<VmState>,
 }
@@ -34,7 +36,8 @@
             )),
             budgets: Mutex::default(),
             fleet: FleetView::new(parts.vm),
-            log: RequestLog::new(parts.log, Arc::clone(&parts.ports.meter)),
+            log: RequestLog::new(parts.log.clone(), Arc::clone(&parts.ports.meter)),
+            target_log: RequestLog::new(parts.log, Arc::clone(&parts.ports.meter)),
             ports: parts.ports,
             routes: RwLock::default(),
             state,
@@ -61,6 +64,11 @@
         &self.log
     }
 
+    /// Returns the log for lines about the availability of targets.
+    pub fn target_log(&self) -> &RequestLog {
+        &self.target_log
+    }
+
     /// Counts a line about a request against the log budget. Returns how many lines were dropped
     /// before it, or `None` if the budget is used up.
     pub fn try_acquire_log_line(&self) -> Option<u64> {
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -82,6 +82,16 @@
         self.table.record_pause(&self.key, pause)
     }
 
+    /// Records that the request was not sent: its target was lost, unless the request was withheld.
+    /// Returns whether the target was lost.
+    pub fn record_unsent(&self) -> bool {
+        let lost = self.send_check().confirm().is_ok();
+        if lost {
+            self.record_lost();
+        }
+        lost
+    }
+
     /// Records that the connection could not be established or was lost before a response.
     pub fn record_lost(&self) {
         self.table.record_lost(&self.key);
