--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -238,7 +238,7 @@
                         last = Some(refusal);
                         continue;
                     }
-                    return Err(refusal);
+                    return Err(self.await_return(refusal, query));
                 }
                 AttemptResult::Lost(refusal) if self.route.repeat != RepeatRule::Idempotent => {
                     return Err(refusal);
@@ -274,8 +274,10 @@
     }
 
     fn refuse_no_room(&self, reason: &PlacementError) -> Refusal {
+        let bounded = |wait: &Duration| (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let (cause, wait) = match reason {
-            PlacementError::Full(wait) => ("full", (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+            PlacementError::BackOff { wait, .. } => ("back_off", bounded(wait)),
+            PlacementError::Full(wait) => ("full", bounded(wait)),
             PlacementError::NoTarget => ("none", MAX_RETRY_AFTER),
             PlacementError::Paused { wait, .. } => ("paused", *wait),
         };
@@ -309,6 +311,7 @@
         }
         let identity = TargetIdentity { remaining, name: target.name.clone() };
         request.extensions_mut().insert(identity);
+        request.extensions_mut().insert(guard.send_check());
         let Some(permit) = SendPermit::repeatable(self.route.repeat) else {
             return AttemptResult::NotRun(ErrorKind::KeyMissing.into());
         };
@@ -325,7 +328,9 @@
                 other => other,
             },
             Err(AttemptError::NotSent(attempt, reason)) => {
-                guard.record_lost();
+                if !guard.record_unsent() {
+                    self.router.ports().meter.count("placement.withheld", 1);
+                }
                 self.log_failed_attempt(guard, &reason);
                 let refusal = Refusal::new(ErrorKind::NoRoom, reason).retry_after(MAX_RETRY_AFTER);
                 AttemptResult::Unreached(attempt.into_request(), refusal)
@@ -337,6 +342,9 @@
                 AttemptResult::Lost(sent.refuse_unknown(kind))
             }
             Err(AttemptError::Sent(sent, kind)) => {
+                if let Some(report) = sent.report() {
+                    self.record_availability(guard, &report);
+                }
                 if kind != ErrorKind::DeadlinePassed {
                     guard.record_lost();
                 }
@@ -427,10 +435,11 @@
         time: Option<Duration>,
     ) {
         self.router.ports().meter.count(&format!("placement.{counter}"), 1);
-        let Some(dropped) = self.router.try_acquire_log_line() else { return };
+        let log = self.router.target_log();
+        let Some(dropped) = log.try_acquire_line() else { return };
         let target = guard.target();
         let time = time.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
-        info!(self.router.log(), "placement: {text}"; "target" => %target.name,
+        info!(log.log(), "placement: {text}"; "target" => %target.name,
             "born" => target.born, "source" => %BeliefSource::Response, "for_ms" => time,
             "id" => &*self.caller.id, "dropped" => dropped);
     }
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -1,7 +1,7 @@
 //! Accounting of a request at its target.
 
 use super::{
-    Belief, LoadSample, PauseRequest, TargetOutcome, TargetRecord, TargetTable,
+    Belief, LoadSample, PauseRequest, SendCheck, TargetOutcome, TargetRecord, TargetTable,
     target_table::TargetKey,
 };
 use std::{sync::Arc, time::Duration};
@@ -39,6 +39,11 @@
         self.returned
     }
 
+    /// Returns the check whether the request may still be sent when a connection is open.
+    pub fn send_check(&self) -> SendCheck {
+        SendCheck::new(Arc::clone(&self.table), self.key.clone())
+    }
+
     /// Returns the selected target.
     pub fn target(&self) -> &TargetRecord {
         &self.target
@@ -77,6 +82,16 @@
         self.table.record_pause(&self.key, pause)
     }
 
+    /// Records that the request was not sent: its target was lost, unless the request was withheld.
+    /// Returns whether the target was lost.
+    pub fn record_unsent(&self) -> bool {
+        let lost = self.send_check().confirm().is_ok();
+        if lost {
+            self.record_lost();
+        }
+        lost
+    }
+
     /// Records that the connection could not be established or was lost before a response.
     pub fn record_lost(&self) {
         self.table.record_lost(&self.key);
