Reset connections that lost bytes instead of ending them

Cause: the soak's proxy. While a link is muted or silent it discards bytes, yet it passed the target's end of the connection on. TCP can't do that: a lost end needs the lost bytes first. A body that ends with its connection then looked complete to the VM. Evidence: "7-3" is the first half of the right body "7-30 7"; the style of 7-30 at target 0 has no length; that target's link is muted from 7.008 s, and 7-30 was sent at about 6.95 s (concluded from the log). A violation names the target and the style of the answer. Deaf loses requests as Mute loses responses.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -6,6 +6,8 @@
 /// Fault that a proxy injects into its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LinkFault {
+    /// Discards data from the client and forwards data from the server.
+    Deaf,
     /// Delays each chunk.
     Delay(Duration),
     /// Forwards data from the client and discards data from the server.
--- a/crates/soak/src/find_violations.rs
+++ b/crates/soak/src/find_violations.rs
@@ -62,7 +62,9 @@
             let runs = self.runs.get(id).map_or(&[][..], Vec::as_slice);
             let broken = match &completion.outcome {
                 CallOutcome::Answer(body) if body != "whole" => {
-                    Some(("an answer is whole and the request's own", body.clone()))
+                    let sources: Vec<_> = runs.iter().map(|run| (run.target, run.style)).collect();
+                    let detail = format!("{body:?}, ran at {sources:?}");
+                    Some(("an answer is whole and the request's own", detail))
                 }
                 CallOutcome::Answer(_) if runs.is_empty() => {
                     Some(("an answer comes from a target", "no target ran it".to_owned()))
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -98,26 +98,40 @@
 }
 
 /// Copies one direction. Once data has been discarded, nothing more is forwarded in this direction,
-/// since the byte stream would have a gap.
+/// since the byte stream would have a gap. Its end is lost with the data: the connection stays open
+/// for the rest of the fault, and is then reset.
 async fn copy(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
-    fault: watch::Receiver<LinkFault>,
+    mut fault: watch::Receiver<LinkFault>,
     is_downstream: bool,
 ) -> io::Result<()> {
+    let discards = |fault: LinkFault| match fault {
+        LinkFault::Deaf => !is_downstream,
+        LinkFault::Mute => is_downstream,
+        LinkFault::Silent => true,
+        LinkFault::Delay(_) | LinkFault::None | LinkFault::Reset => false,
+    };
     let mut discarding = false;
     let mut bytes = vec![0; BUFFER_BYTES];
-    while let length @ 1.. = from.read(&mut bytes).await? {
+    loop {
+        let length = from.read(&mut bytes).await?;
         let current = *fault.borrow();
-        match current {
-            LinkFault::Delay(time) => sleep(time).await,
-            LinkFault::Mute => discarding |= is_downstream,
-            LinkFault::Silent => discarding = true,
-            LinkFault::None | LinkFault::Reset => {}
+        discarding |= discards(current);
+        if length == 0 {
+            break;
+        }
+        if let LinkFault::Delay(time) = current {
+            sleep(time).await;
         }
         if !discarding {
             to.write_all(&bytes[..length]).await?;
         }
     }
+    if discarding {
+        // An error means that the proxy has been dropped, which ends the fault.
+        let _ = fault.wait_for(|fault| !discards(*fault)).await;
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
     to.shutdown().await
 }
