--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -35,8 +35,14 @@
     /// A target says for this long that it leaves, without draining. It returns later as a new
     /// incarnation.
     LeaveFalsely(usize, Duration),
+    /// A target says falsely that it leaves, while a VM receives SIGHUPs and configurations, and then
+    /// SIGTERM. The target returns later as a new incarnation.
+    LeaveAmidSignals(usize, usize),
     /// A target refuses all requests for a time, and asks to be spared for up to a second time.
     Refuse(usize, Duration, Duration),
+    /// A VM is stopped this many times in a row amid configurations, and restarted at once each time:
+    /// by SIGTERM and, in the middle of its shutdown, SIGKILL, and the last time by SIGTERM alone.
+    RestartSeries(usize, u32),
     /// A VM receives SIGTERM amid SIGHUPs, configurations and a suspension of this length.
     StopAmidChanges(usize, Duration),
     /// A VM receives SIGHUP.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the soak test.
 
 use lexopt::{Arg, Parser, ValueExt};
-use soak::{SoakOptions, SoakReport, run_soak};
+use soak::{FleetSize, SoakOptions, SoakReport, run_soak};
 use std::{env, error::Error, process::ExitCode, time::Duration};
 
 const HELP: &str = "\
@@ -14,6 +14,7 @@
   --seconds N   Time with calls (default 30)
   --seed N      First seed (default 1)
   --seeds N     Number of seeds, one after the other (default 1)
+  --size N      Size of the fleet as a multiple of 8 VMs and 12 targets (default 1)
 ";
 /// Maximum number of violations printed for each promise.
 const MAX_VIOLATIONS: usize = 5;
@@ -36,6 +37,7 @@
 
 fn run(mut parser: Parser) -> Result<bool, Box<dyn Error>> {
     let (mut program, mut seconds, mut first, mut count) = (env::current_exe()?, 30, 1, 1);
+    let mut size = FleetSize::default();
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") => {
@@ -46,6 +48,7 @@
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             Arg::Long("seed") => first = parser.value()?.parse()?,
             Arg::Long("seeds") => count = parser.value()?.parse()?,
+            Arg::Long("size") => size = FleetSize::new(parser.value()?.parse()?),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -53,7 +56,7 @@
     let mut passed = true;
     for seed in first..first + count {
         let options = SoakOptions::new(program.clone(), seed);
-        let options = options.length(Duration::from_secs(seconds));
+        let options = options.length(Duration::from_secs(seconds)).size(size);
         let report = runtime.block_on(run_soak(&options))?;
         passed &= print(seed, &report);
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! Runs a soak: starts the fleet, injects the faults of a seed, and checks the promises.
 
 use crate::{
-    CallOutcome, Completion, Exit, Fault, LinkFault, PlannedChange, Schedule, SoakFleet,
+    CallOutcome, Completion, Exit, Fault, FleetSize, LinkFault, PlannedChange, Schedule, SoakFleet,
     SoakTarget, Step, Subject, Violation, VmProcess, find_violations, run_caller,
     run_pipelining_caller, schedule::FAULT_FREE_END, soak_fleet::SHUTDOWN_GRACE,
     stand_ins::wait_ready,
@@ -14,10 +14,6 @@
     time::{Instant, sleep, sleep_until},
 };
 
-/// Number of concurrent callers.
-const CALLERS: u64 = 24;
-/// Number of concurrent callers that pipeline reads.
-const PIPELINING_CALLERS: u64 = 8;
 /// Time between a target's false announcement and its restart; longer than the time for which it may
 /// get requests sent before the announcement.
 const FALSE_LEAVE_TIME: Duration = Duration::from_secs(5);
@@ -29,6 +25,8 @@
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time between two changes of a series.
 const CHANGE_GAP: Duration = Duration::from_millis(150);
+/// Time between two signals of a series.
+const SIGNAL_GAP: Duration = Duration::from_millis(700);
 /// Maximum time to wait for requests in flight at the end.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
@@ -41,12 +39,14 @@
     pub program: PathBuf,
     /// Seed of the fault schedule.
     pub seed: u64,
+    /// Size of the fleet.
+    pub size: FleetSize,
 }
 
 impl SoakOptions {
-    /// Creates options for a soak of 30 seconds.
+    /// Creates options for a soak of 30 seconds in a fleet of the usual size.
     pub fn new(program: PathBuf, seed: u64) -> Self {
-        Self { length: Duration::from_secs(30), program, seed }
+        Self { length: Duration::from_secs(30), program, seed, size: FleetSize::default() }
     }
 
     /// Sets the time for which callers send requests.
@@ -54,6 +54,12 @@
         self.length = length;
         self
     }
+
+    /// Sets the size of the fleet.
+    pub fn size(mut self, size: FleetSize) -> Self {
+        self.size = size;
+        self
+    }
 }
 
 /// Results of a soak.
@@ -79,16 +85,17 @@
 pub async fn run_soak(options: &SoakOptions) -> io::Result<SoakReport> {
     let name = format!("soak-{}-{}", options.seed, process::id());
     let folder = env::temp_dir().join(name);
-    let fleet = Arc::new(SoakFleet::start(&options.program, &folder).await?);
+    let size = options.size;
+    let fleet = Arc::new(SoakFleet::start(&options.program, &folder, size).await?);
     wait_ready(&fleet).await?;
-    let schedule = Schedule::draw(options.seed, options.length);
+    let schedule = Schedule::draw(options.seed, options.length, size);
     let start = Instant::now();
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS {
-        callers.spawn(run_caller(Arc::clone(&fleet), number, options.seed));
+    for number in 0..size.callers() {
+        callers.spawn(run_caller(Arc::clone(&fleet), number as u64, options.seed));
     }
-    for number in CALLERS..CALLERS + PIPELINING_CALLERS {
-        callers.spawn(run_pipelining_caller(Arc::clone(&fleet), number, options.seed));
+    for number in size.callers()..size.callers() + size.pipelining_callers() {
+        callers.spawn(run_pipelining_caller(Arc::clone(&fleet), number as u64, options.seed));
     }
     let mut faults = JoinSet::new();
     for step in schedule.steps.clone() {
@@ -141,6 +148,7 @@
             sleep(time).await;
             drain(fleet, target).await;
         }
+        Fault::LeaveAmidSignals(target, vm) => leave_amid_signals(fleet, target, vm).await,
         Fault::LeaveFalsely(target, time) => {
             fleet.targets[target].set_leaving(true);
             sleep(time).await;
@@ -150,6 +158,7 @@
         }
         Fault::Pause(vm, time) => pause(fleet, vm, &*fleet.processes[vm].lock().await, time).await,
         Fault::Refuse(target, time, pause) => fleet.targets[target].refuse_for(time, pause),
+        Fault::RestartSeries(vm, count) => restart_in_series(fleet, vm, count).await,
         Fault::StopAmidChanges(vm, time) => stop_amid_changes(fleet, vm, time).await,
         Fault::Store(fault, time) => {
             let disruption = recorder.begin_disruption(Subject::Store);
@@ -246,6 +255,38 @@
     .await;
 }
 
+/// Stops and restarts a VM several times in a row, amid configurations. All but the last time, it is
+/// killed in the middle of its shutdown.
+async fn restart_in_series(fleet: &SoakFleet, vm: usize, count: u32) {
+    let mut process = fleet.processes[vm].lock().await;
+    for _ in 1..count {
+        process.signal("TERM");
+        configure(fleet, 2).await;
+        let disruption = fleet.recorder.begin_disruption(Subject::Vm(vm));
+        process.kill();
+        fleet.recorder.end_disruption(disruption);
+        restart(fleet, vm, &mut process);
+        sleep(SIGNAL_GAP).await;
+    }
+    stop(fleet, vm, &mut process, async |process| process.signal("TERM")).await;
+}
+
+/// Lets a target say falsely that it leaves while a VM receives SIGHUPs and configurations, and then
+/// SIGTERM. The VM must not believe the target again at any of them.
+async fn leave_amid_signals(fleet: &SoakFleet, target: usize, vm: usize) {
+    fleet.targets[target].set_leaving(true);
+    hang_up(fleet, vm).await;
+    sleep(SIGNAL_GAP).await;
+    fleet.targets[target].set_leaving(false);
+    for _ in 0..4 {
+        hang_up(fleet, vm).await;
+        configure(fleet, 2).await;
+        sleep(SIGNAL_GAP).await;
+    }
+    terminate(fleet, vm).await;
+    replace(fleet, target).await;
+}
+
 /// Sends signals that end a process, and restarts it.
 async fn stop(
     fleet: &SoakFleet,
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -1,7 +1,7 @@
 //! Fleet of VM processes with their store and targets.
 
 use crate::{
-    HistoryRecorder, LinkFault, PlannedChange, Proxy, SoakTarget, VmProcess,
+    FleetSize, HistoryRecorder, LinkFault, PlannedChange, Proxy, SoakTarget, VmProcess,
     stand_ins::{configuration, registration},
 };
 use lab::{ObjectStore, StoreFault};
@@ -19,16 +19,11 @@
 };
 use tokio::sync::Mutex;
 
-/// Number of entry VMs. The first region has enough of them that some read the store through a
-/// peer.
-pub const VMS: usize = 8;
-/// Number of targets, spread over zones and services.
-pub const TARGETS: usize = 12;
 /// Availability zones with their regions.
 pub(crate) const ZONES: [(&str, &str); 3] =
     [("lis-a", "lisboa"), ("lis-b", "lisboa"), ("por-a", "porto")];
-/// Index of each VM's zone in [`ZONES`].
-const VM_ZONES: [usize; VMS] = [0, 1, 0, 1, 0, 1, 2, 2];
+/// Indices of the VMs' zones in [`ZONES`], repeated for large fleets.
+const VM_ZONES: [usize; 8] = [0, 1, 0, 1, 0, 1, 2, 2];
 /// Services of the targets. Each configuration changes the service of the route `moved` to the
 /// other one.
 pub(crate) const SERVICES: [&str; 2] = ["briefs", "media"];
@@ -73,18 +68,18 @@
     /// # Errors
     ///
     /// Fails if the store, a target or a VM can't be started.
-    pub async fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+    pub async fn start(program: &Path, folder: &Path, size: FleetSize) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
         let recorder = Arc::new(HistoryRecorder::default());
         let store = ObjectStore::default();
         let (address, _) = store.serve(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let (mut store_proxies, mut addresses, mut targets) = (Vec::new(), Vec::new(), Vec::new());
-        for number in 0..TARGETS {
+        for number in 0..size.targets() {
             let zone = ZONES[number % ZONES.len()].0;
             let service = SERVICES[number / ZONES.len() % SERVICES.len()];
             targets.push(SoakTarget::start(number, service, zone, Arc::clone(&recorder)).await?);
         }
-        for _ in 0..VMS {
+        for _ in 0..size.vms() {
             store_proxies.push(Proxy::start(address).await?);
             addresses.push(ListenAddresses {
                 callers: free_address()?,
@@ -105,8 +100,8 @@
             version: AtomicU32::new(0),
         };
         fleet.write_configuration();
-        (0..TARGETS).for_each(|number| fleet.register(number, "ready"));
-        for vm in 0..VMS {
+        (0..size.targets()).for_each(|number| fleet.register(number, "ready"));
+        for vm in 0..size.vms() {
             let process = fleet.start_vm(program, vm)?;
             fleet.processes.push(Mutex::new(process));
         }
@@ -114,7 +109,7 @@
     }
 
     fn start_vm(&self, program: &Path, vm: usize) -> io::Result<VmProcess> {
-        let (zone, region) = ZONES[VM_ZONES[vm]];
+        let (zone, region) = ZONES[VM_ZONES[vm % VM_ZONES.len()]];
         let addresses = &self.addresses[vm];
         let zones: serde_json::Map<String, Value> =
             ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), json!(region))).collect();
--- a/crates/soak/src/stand_ins/callers.rs
+++ b/crates/soak/src/stand_ins/callers.rs
@@ -25,6 +25,8 @@
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Share of requests that go to the same VM as the one before.
 const KEEP_SHARE: f64 = 0.5;
+/// One in this many callers stays with its VM until its process is gone.
+const LOYAL_CALLERS: u64 = 4;
 /// Size of an upload in bytes.
 const UPLOAD_BYTES: usize = 100 << 10;
 
@@ -35,6 +37,7 @@
     let (mut addresses, mut resolved) = (Vec::new(), Instant::now());
     // VM that is used until its connection fails, also when the directory no longer lists it.
     let mut kept = None;
+    let keep_share = if number.is_multiple_of(LOYAL_CALLERS) { 1.0 } else { KEEP_SHARE };
     for count in 0_u64.. {
         if addresses.is_empty() || resolved.elapsed() > DIRECTORY_TTL {
             // Callers keep using the last addresses while the directory can't be reached.
@@ -48,7 +51,7 @@
             continue;
         }
         let listed = addresses[rng.random_range(0..addresses.len())];
-        let address = kept.filter(|_| rng.random_bool(KEEP_SHARE)).unwrap_or(listed);
+        let address = kept.filter(|_| rng.random_bool(keep_share)).unwrap_or(listed);
         let Some(vm) = caller.vms.iter().position(|vm| vm.callers == address) else {
             continue;
         };
