--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -3,14 +3,19 @@
 use crate::{
     http::{
         ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
-        read_ahead_stream::{PipelinedRequest, ReadAhead, ReadAheadStream, has_close},
+        read_ahead_stream::{
+            HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
+        },
         to_body,
         waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
 };
-use http::{HeaderValue, Request, Response, Version, header::CONNECTION};
+use http::{
+    HeaderValue, Request, Response, Version,
+    header::{CONNECTION, CONTENT_LENGTH},
+};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -34,6 +39,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    time::sleep,
 };
 
 /// Returns whether a pipelined request may be started while an earlier one is being processed.
@@ -49,7 +55,7 @@
 pub struct ListenerLimits {
     /// Maximum number of concurrent connections.
     pub connections: usize,
-    /// Timeout for reading the head of a request.
+    /// Timeout for reading the head of a request, and for the first request of a connection.
     pub head_timeout: Duration,
     /// Largest request head in bytes.
     pub max_head: usize,
@@ -160,7 +166,7 @@
                     });
                 }
                 // Out of file descriptors; wait until some are freed.
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+                Err(_) => sleep(Duration::from_millis(50)).await,
             }
         }
     }
@@ -195,8 +201,11 @@
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
         let unframed = Arc::new(AtomicBool::new(false));
         let is_unframed = Arc::clone(&unframed);
+        let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
+        let requested = Arc::new(AtomicBool::new(false));
+        let is_requested = Arc::clone(&requested);
         let stream: ReadAheadStream<WaitingResponse> =
-            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout));
+            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
             let request = head.clone().map(|()| empty_body());
@@ -207,6 +216,7 @@
         let (pipelined, serve) = (stream.clone(), handler.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
+            is_requested.store(true, Ordering::Relaxed);
             is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             let next = pipelined.pop_pipelined();
             let (stream, serve) = (pipelined.clone(), serve.clone());
@@ -220,6 +230,7 @@
                     observe(&ReplacedResponse { caller, refusal }.into());
                     response
                 });
+                normalize_framing(&mut response);
                 set_close(&mut response, &stream);
                 busy.fetch_sub(1, Ordering::Relaxed);
                 let passing = stream.pass_response();
@@ -243,6 +254,8 @@
                 observer(&ConnectionEnd { caller, error, unanswered }.into());
             }
         };
+        // Hyper's timeout starts with HTTP/1.1, which takes the first bytes to detect.
+        let mut head_timeout = pin!(sleep(limits.head_timeout));
         let mut closing = false;
         loop {
             tokio::select! {
@@ -265,6 +278,11 @@
                     connection.as_mut().graceful_shutdown();
                     closing = false;
                 }
+                () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
+                    if !requested.load(Ordering::Relaxed) {
+                        return;
+                    }
+                }
                 Ok(()) = phase.changed() => {
                     let now = *phase.borrow_and_update();
                     if now == ListenerPhase::Open {
@@ -306,6 +324,16 @@
     hold_until_turn(response, ready(Turn::Followed)).await
 }
 
+/// Removes what makes hyper close the connection behind a response: the version of a target that
+/// speaks HTTP/1.0, and a length that isn't a plain number, such as a repeated one.
+fn normalize_framing(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_11;
+    let headers = response.headers_mut();
+    if headers.get_all(CONTENT_LENGTH).iter().any(|value| parse_length(value).is_none()) {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
 /// Lets only the last response to the requests that were started early close the connection.
 fn set_close(response: &mut Response<Body>, stream: &ReadAheadStream<WaitingResponse>) {
     let headers = response.headers_mut();
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -16,9 +16,10 @@
 mod waiting_response;
 mod write_timeout;
 
+pub(crate) use self::http_targets::CROSSED;
 pub use self::{
     connection_end::ConnectionEnd,
-    connection_pool::ConnectionPool,
+    connection_pool::{Acceptance, ConnectionPool},
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -67,6 +67,39 @@
         in_flight: u32,
         has_quota: impl FnOnce() -> bool,
     ) -> Result<Admission, Hold> {
+        let confirmed = self.confirm(now, in_flight);
+        if let Some((belief, until)) = self.health.back_off(now) {
+            return Err(match confirmed {
+                Err(hold) if hold.until.is_none_or(|end| end >= until) => hold,
+                _ => Hold { belief, cause: HoldCause::BackOff, until: Some(until) },
+            });
+        }
+        let admission = confirmed?;
+        match self.cold.filter(|cold| now < cold.until) {
+            Some(ColdLimit { belief, until }) if !has_quota() => {
+                Err(Hold { belief, cause: HoldCause::Cold, until: Some(until) })
+            }
+            _ => Ok(admission),
+        }
+    }
+
+    /// Confirms that a request that was admitted earlier may still be sent, given this VM's other
+    /// requests in flight at the target. It has a connection, so a backoff doesn't matter.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which it must not be sent.
+    ///
+    /// ```
+    /// use steer::{HoldCause, TargetAccess};
+    /// let now = tokio::time::Instant::now();
+    /// let mut access = TargetAccess::default();
+    /// access.record_lost(now);
+    /// assert!(access.confirm(now, 0).is_ok());
+    /// access.record_leaving(now);
+    /// assert_eq!(access.confirm(now, 0).unwrap_err().cause, HoldCause::Leaving);
+    /// ```
+    pub fn confirm(&self, now: Instant, in_flight: u32) -> Result<Admission, Hold> {
         let life = match &self.life {
             AnyLife::Accepting(life) => life,
             AnyLife::Departing(life) => return Err(life.hold()),
@@ -78,16 +111,7 @@
         if let Some(belief) = self.misdirected {
             return Err(endless(belief, HoldCause::Misdirected));
         }
-        let admission = life.admit(now, in_flight)?;
-        if let Some((belief, until)) = self.health.back_off(now) {
-            return Err(Hold { belief, cause: HoldCause::BackOff, until: Some(until) });
-        }
-        match self.cold.filter(|cold| now < cold.until) {
-            Some(ColdLimit { belief, until }) if !has_quota() => {
-                Err(Hold { belief, cause: HoldCause::Cold, until: Some(until) })
-            }
-            _ => Ok(admission),
-        }
+        life.admit(now, in_flight)
     }
 
     /// Returns the moving average of the failure rate, from 0 to 1.
@@ -171,9 +195,13 @@
     }
 
     /// Records a response and whether it was a failure.
-    pub fn record_response(&mut self, now: Instant, failed: bool) {
+    pub fn record_response(&mut self, failed: bool) {
         self.health.record_answer(failed);
-        if let (AnyLife::Accepting(life), false) = (&mut self.life, failed) {
+    }
+
+    /// Records that the target ran a request, which lets more requests follow after a pause.
+    pub fn record_run(&mut self, now: Instant) {
+        if let AnyLife::Accepting(life) = &mut self.life {
             life.record_run(now);
         }
     }
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -1,9 +1,9 @@
 //! State of all targets in the fleet, and selection among them.
 
 use super::{
-    Admission, BeliefSource, Distance, LoadSample, ObjectHash, PauseRequest, PlacementError,
-    PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord, WorkTime,
-    hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
+    Admission, BeliefSource, Distance, HoldCause, LoadSample, ObjectHash, PauseRequest,
+    PlacementError, PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord,
+    WorkTime, hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
     target_state::TargetState,
 };
 use crate::{
@@ -330,7 +330,8 @@
             .returned(returned))
     }
 
-    /// Returns the time until the first target returns, if all targets that a request may use pause.
+    /// Returns the time until the first target returns, if all targets that a request may use pause
+    /// or back off.
     pub fn first_return(&self, query: &PlacementQuery) -> Option<Duration> {
         let now = Instant::now();
         let inner = self.lock();
@@ -342,7 +343,9 @@
             }
         }
         match holds.into_error(now) {
-            PlacementError::Paused { wait, .. } => Some(wait),
+            PlacementError::BackOff { wait, .. } | PlacementError::Paused { wait, .. } => {
+                Some(wait)
+            }
             PlacementError::Full(_) | PlacementError::NoTarget => None,
         }
     }
@@ -359,29 +362,40 @@
         }
     }
 
+    /// Confirms that a placed request may still be sent.
+    pub(super) fn confirm(&self, key: &TargetKey) -> Result<(), HoldCause> {
+        let inner = self.lock();
+        let state = inner.targets.get(&key.service).and_then(|targets| targets.get(&key.name));
+        let state = state.filter(|state| state.record.born == key.born);
+        let state = state.ok_or(HoldCause::Unregistered)?;
+        state.confirm(Instant::now(), &inner.evacuated).map(drop).map_err(|hold| hold.cause)
+    }
+
     pub(super) fn release(&self, key: &TargetKey) {
         self.with_state(key, |state| state.load.end());
     }
 
     /// Records the work time of one request, and that the target has its object cached.
     pub(super) fn record_work(&self, key: &TargetKey, time: Duration) {
+        let now = Instant::now();
         let mut inner = self.lock();
         // Clones the service name only on first use.
         match inner.work.get_mut(&key.service) {
             Some(work) => work.record(time),
             None => inner.work.entry(key.service.clone()).or_default().record(time),
         }
-        if let Some((object, state)) = key.object.zip(inner.state(key)) {
-            state.cached.record(object, Instant::now());
+        let Some(state) = inner.state(key) else { return };
+        state.access.record_run(now);
+        if let Some(object) = key.object {
+            state.cached.record(object, now);
         }
     }
 
     pub(super) fn record_response(&self, key: &TargetKey, load: Option<LoadSample>, failed: bool) {
-        let now = Instant::now();
         self.with_state(key, |state| {
-            state.access.record_response(now, failed);
+            state.access.record_response(failed);
             if let Some(sample) = load {
-                state.load.report(now, sample);
+                state.load.report(Instant::now(), sample);
             }
         });
     }
