--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -3,13 +3,14 @@
 use super::{
     Attempt, AttemptError, Refusal, TRACE_HEADER,
     delivered_body::log_delivery,
+    request_source::RequestSource,
     serve_request::{set_header, trace_of},
 };
 use crate::{
-    BeliefSource, Body, BodyFault, BodyLimits, BufferedRequest, CallerRequest, ErrorKind,
-    ObjectHash, Outcome, PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RepeatRule,
-    ResponseDeadline, Route, Router, SendPermit, ServiceName, SmallBodyError, TargetIdentity,
-    TargetOutcome, TargetReport, bound_body, buffer_small_body, hold_until_end,
+    BeliefSource, Body, BodyFault, BodyLimits, CallerRequest, ErrorKind, ObjectHash, Outcome,
+    PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RepeatRule, ResponseDeadline,
+    Route, Router, SendPermit, ServiceName, SmallBodyError, TargetIdentity, TargetOutcome,
+    TargetReport, bound_body, buffer_small_body, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
 use http_body::Body as _;
@@ -140,45 +141,6 @@
     }
 }
 
-/// Provides the request for each attempt.
-enum RequestSource {
-    /// The request is buffered and can be sent any number of times.
-    Buffered(BufferedRequest),
-    /// The body is streamed; the request is available until its first byte has been sent.
-    Stream(Option<Request<Body>>),
-}
-
-impl RequestSource {
-    async fn new(request: Request<Body>, streamed: bool) -> Result<Self, Refusal> {
-        if streamed {
-            return Ok(Self::Stream(Some(request)));
-        }
-        match BufferedRequest::read(request).await {
-            Ok(Ok(buffered)) => Ok(Self::Buffered(buffered)),
-            Ok(Err(request)) => Ok(Self::Stream(Some(request))),
-            Err(error) => Err(Refusal::new(ErrorKind::RequestInvalid, error.to_string())),
-        }
-    }
-
-    fn take(&mut self) -> Option<Request<Body>> {
-        match self {
-            Self::Buffered(buffered) => Some(buffered.request()),
-            Self::Stream(request) => request.take(),
-        }
-    }
-
-    /// Puts back a request of which nothing was sent.
-    fn put_back(&mut self, unsent: Request<Body>) {
-        if let Self::Stream(request) = self {
-            *request = Some(unsent);
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        matches!(self, Self::Stream(None))
-    }
-}
-
 /// Result of one attempt.
 enum AttemptResult {
     /// The target ran the request; the head of its response has arrived.
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -17,6 +17,7 @@
 mod renew_shares;
 mod renew_slot_leases;
 mod request_lease;
+mod request_source;
 mod route_request;
 mod run_entry;
 mod run_in_pool;
