Test that failed streams and unread bodies take no request along

Two more ways in which one request could end the answer of another. Neither happens: a panic or a broken body on an HTTP/2 stream ends that stream alone, and a request body that its handler leaves unread closes the connection only where the reads behind it weren't started.

--- a/crates/adapters/tests/closing_connections.rs
+++ b/crates/adapters/tests/closing_connections.rs
@@ -127,6 +127,7 @@
     let post = |path| {
         format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_SIZE}\r\n\r\n{body}")
     };
+    let small_post = "POST /unread HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nfour".to_owned();
     let close = "GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".to_owned();
     let cases = [
         ("closes by its response", get("/last") + &get("/b") + &get("/c"), false),
@@ -135,6 +136,7 @@
         ("closes by the listener", get("/a") + &get("/b") + &get("/c"), true),
         ("behind a body that is read", post("/read") + &get("/b"), false),
         ("behind a body that isn't read", post("/unread") + &get("/b"), false),
+        ("behind a small body that isn't read", small_post + &get("/b") + &get("/c"), false),
     ];
     let mut table = String::new();
     for (name, requests, closes) in cases {
--- a/crates/adapters/tests/cut_bodies.rs
+++ b/crates/adapters/tests/cut_bodies.rs
@@ -4,10 +4,15 @@
 
 use adapters::{Listener, ListenerLimits};
 use bytes::Bytes;
-use futures_util::stream::{StreamExt, iter, pending};
-use http::{HeaderValue, Response, header::CONTENT_LENGTH};
+use futures_util::{
+    future::join_all,
+    stream::{StreamExt, iter, pending},
+};
+use http::{HeaderValue, Request, Response, header::CONTENT_LENGTH};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use std::{
     fmt::Write,
     net::SocketAddr,
@@ -17,18 +22,18 @@
     },
     time::Duration,
 };
-use steer::{BodyFault, BodyLimits, bound_body, full_body};
+use steer::{BodyFault, BodyLimits, bound_body, empty_body, full_body};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Time after which the body of `/cut` fails.
 const BODY_TIME: Duration = Duration::from_millis(100);
 
 /// Serves `/cut`, whose body fails after its first bytes, `/cut-length`, which also has a length,
-/// and whole responses. Counts the requests. As on the path of `ragwortswitch entry`, no request
+/// `/panic`, and whole responses, of which `/late` comes after the others. Counts the requests. As on the path of `ragwortswitch entry`, no request
 /// starts early.
 async fn serve() -> (SocketAddr, Arc<AtomicUsize>) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -40,7 +45,11 @@
         count.fetch_add(1, Ordering::SeqCst);
         async move {
             let path = request.uri().path();
-            if path == "/whole" {
+            assert_ne!(path, "/panic");
+            if path == "/late" {
+                sleep(2 * BODY_TIME).await;
+            }
+            if path == "/whole" || path == "/late" {
                 return Response::new(full_body("whole"));
             }
             let first = iter([Ok(Frame::data(Bytes::from_static(b"who")))]);
@@ -110,3 +119,29 @@
     let table = table(&cases).await;
     assert!(!table.contains("looks whole"), "{table}");
 }
+
+#[tokio::test]
+async fn a_failed_stream_of_http2_takes_no_other_along() {
+    let (address, _) = serve().await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (sender, connection) =
+        http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let responses = ["/cut", "/cut-length", "/panic", "/whole", "/late"].map(|path| {
+        let mut sender = sender.clone();
+        async move {
+            let request = Request::get(format!("http://a.example{path}")).body(empty_body());
+            let response = sender.send_request(request.unwrap()).await.unwrap();
+            let status = response.status().as_u16();
+            let whole = response.into_body().collect().await.is_ok();
+            format!("{path}: {status}{}\n", if whole { "" } else { " cut" })
+        }
+    });
+    insta::assert_snapshot!(join_all(responses).await.concat(), @"
+    /cut: 200 cut
+    /cut-length: 200 cut
+    /panic: 502
+    /whole: 200
+    /late: 200
+    ");
+}
