Decide what waits behind a response after it was read on

Callers saw: a read that its target had run got no answer, if it was sent while the response before it, the last one then, was read on, and that response stalled afterwards. Cause: whether others wait was asked once, when the turn of a response came, and not again after its next frame. Change: a response is read on by one frame at its turn; then the listener looks for started requests behind it, reads it on as far as it may if there are any, and else passes it on at once. Requests that come later aren't started. Evidence: a_read_sent_while_a_response_is_read_on_is_answered; before the change 'left: "200, 200 cut, closed"', right: '200, 504, 200'; with it the test passes.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -7,7 +7,7 @@
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
         to_body,
-        waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
+        waiting_response::{ReadOn, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
@@ -297,20 +297,24 @@
     S: FnOnce(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    if let PipelinedRequest::Started(head, response) = pipelined {
-        if is_same(&head, &request) {
-            let turn = if stream.started() == 0 { Turn::Last } else { Turn::Followed };
-            return response.take(turn).await;
+    let response = match pipelined {
+        PipelinedRequest::Started(head, response) if is_same(&head, &request) => {
+            response.take().await?
         }
-        // Hyper reads the stream in another way, so no other request in the queue can be trusted.
-        stream.discard_pipelined();
-    }
-    let response = catch_panic(serve(request)).await?;
+        PipelinedRequest::Started(..) => {
+            // Hyper reads the stream in another way, so no other request in the queue can be trusted.
+            stream.discard_pipelined();
+            catch_panic(serve(request)).await?
+        }
+        PipelinedRequest::Deferred | PipelinedRequest::Ready(..) => {
+            catch_panic(serve(request)).await?
+        }
+    };
     if stream.started() == 0 {
         // The head of a slow stream is passed on at once, as nothing else is lost with it.
         return Ok(response);
     }
-    hold_until_turn(response, ready(Turn::Followed)).await
+    hold_until_turn(response, ready(ReadOn::Body)).await
 }
 
 /// Removes what makes hyper close the connection behind a response: the version of a target that
--- a/crates/adapters/src/http/waiting_response.rs
+++ b/crates/adapters/src/http/waiting_response.rs
@@ -16,20 +16,20 @@
 /// Number of bytes of a body that are read while its response waits, or others wait behind it.
 const MAX_WAITING_BYTES: usize = 64 << 10;
 
-/// What waits behind a response whose turn has come.
+/// How far a response is read on once its turn has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Turn {
-    /// Requests that were started early; they are lost with a body that fails.
-    Followed,
-    /// No request that was started early.
-    Last,
+pub(super) enum ReadOn {
+    /// To its end, or until it turns out to be large: others wait behind it.
+    Body,
+    /// One more frame, which shows that the body hasn't failed.
+    Frame,
 }
 
 /// Response to a request that was started early. Dropping it cancels the request.
 #[derive(Debug)]
 pub(super) struct WaitingResponse {
     task: AbortOnDropHandle<Result<Response<Body>, Refusal>>,
-    turn: oneshot::Sender<Turn>,
+    turn: oneshot::Sender<()>,
 }
 
 impl WaitingResponse {
@@ -38,7 +38,8 @@
         let (turn, is_turn) = oneshot::channel();
         let task = tokio::spawn(async move {
             let response = catch_panic(response).await?;
-            hold_until_turn(response, async { is_turn.await.unwrap_or(Turn::Last) }).await
+            let turn = is_turn.map(|_| ReadOn::Frame);
+            hold_until_turn(response, turn).await
         });
         Self { task: AbortOnDropHandle::new(task), turn }
     }
@@ -49,9 +50,9 @@
     /// # Errors
     ///
     /// If the response failed before any of it was written.
-    pub(super) async fn take(self, turn: Turn) -> Result<Response<Body>, Refusal> {
+    pub(super) async fn take(self) -> Result<Response<Body>, Refusal> {
         // The task has ended if nothing receives this; it then holds the whole response.
-        _ = self.turn.send(turn);
+        _ = self.turn.send(());
         let aborted = |error: tokio::task::JoinError| {
             Err(Refusal::new(ErrorKind::AnswerCut, error.to_string()))
         };
@@ -73,15 +74,14 @@
 
 /// Reads the body of a response until its turn comes, as the target could close its connection
 /// meanwhile. Once the head is passed on, a body that fails ends the connection, and with it the
-/// responses behind it. An incomplete body must therefore deliver one more frame first, and if
-/// others wait behind it, it is read on while it fits into memory.
+/// responses behind it; an incomplete body is therefore read on before that.
 ///
 /// # Errors
 ///
 /// If the body fails, or is incomplete at its deadline, before any of it was passed on.
 pub(super) async fn hold_until_turn(
     response: Response<Body>,
-    turn: impl Future<Output = Turn>,
+    turn: impl Future<Output = ReadOn>,
 ) -> Result<Response<Body>, Refusal> {
     if response.body().is_end_stream() {
         return Ok(response);
@@ -124,8 +124,8 @@
             }
         }
         match current {
-            Some(Turn::Last) => break,
-            Some(Turn::Followed) if bytes.len() >= MAX_WAITING_BYTES => break,
+            Some(ReadOn::Frame) => break,
+            Some(ReadOn::Body) if bytes.len() >= MAX_WAITING_BYTES => break,
             _ => {}
         }
     }
