--- /dev/null
+++ b/crates/adapters/tests/early_start_limits.rs
@@ -0,0 +1,106 @@
+//! Requests that must not be started early, as their connection ends before their turn.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use adapters::{Listener, ListenerLimits};
+use bytes::Bytes;
+use http::Response;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use std::{
+    fmt::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use steer::{Body, BodyError, full_body};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+const PROCESSING_TIME: Duration = Duration::from_millis(200);
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A body that breaks off after some time.
+fn breaking_body() -> Body {
+    let frames = futures_util::stream::unfold(0, |step| async move {
+        match step {
+            0 => Some((Ok(Frame::data(Bytes::from_static(b"who"))), 1)),
+            1 => {
+                sleep(2 * PROCESSING_TIME).await;
+                Some((Err(BodyError { reason: "reset".to_owned() }), 2))
+            }
+            _ => None,
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// Serves requests by their path, and records the paths that were started.
+async fn serve() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let bound = Listener::bind(any, ListenerLimits::default()).await.unwrap();
+    let listener = bound.with_early_start(Arc::new(|_| true));
+    let address = listener.address().unwrap();
+    let started = Arc::new(Mutex::new(Vec::new()));
+    let paths = Arc::clone(&started);
+    tokio::spawn(listener.serve(move |request, _| {
+        let path = request.uri().path().to_owned();
+        paths.lock().unwrap().push(path.clone());
+        async move {
+            if path == "/stream" {
+                return Response::new(breaking_body());
+            }
+            sleep(PROCESSING_TIME).await;
+            Response::new(full_body(path))
+        }
+    }));
+    (address, started)
+}
+
+/// Sends the requests, the second part after the first response has begun, and lists the started
+/// requests and the status of each response.
+async fn exchange(first: &str, second: &str) -> String {
+    let (address, started) = serve().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(first.as_bytes()).await.unwrap();
+    sleep(PROCESSING_TIME / 2).await;
+    stream.write_all(second.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let end = timeout(READ_TIMEOUT, stream.read_to_end(&mut received)).await;
+    let text = String::from_utf8_lossy(&received);
+    let statuses: Vec<&str> = text.split("HTTP/1.1 ").skip(1).map(|text| &text[..3]).collect();
+    let end = if end.is_ok() { "closed" } else { "open" };
+    format!("started {}, answered {}, {end}", started.lock().unwrap().join(" "), statuses.join(" "))
+}
+
+fn get(path: &str, more: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n{more}\r\n")
+}
+
+/// Guards against requests that run although, or more often than, the HTTP parser accepts them.
+#[tokio::test]
+async fn a_read_with_an_ambiguous_length_is_not_started_early() {
+    let post = "POST /post HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nwhole";
+    let cases = [
+        ("two lengths", get("/a", ""), "content-length: 0\r\ncontent-length: 5\r\n"),
+        ("equal lengths", get("/a", ""), "content-length: 0\r\ncontent-length: 0\r\n"),
+        ("signed length", get("/a", ""), "content-length: +0\r\n"),
+        ("plain length", get("/a", ""), "content-length: 0\r\n"),
+        ("behind a small body that isn't read", post.to_owned(), ""),
+    ];
+    let mut table = String::new();
+    for (name, first, more) in cases {
+        writeln!(table, "{name}: {}", exchange(&first, &get("/b", more)).await).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Guards against reads that are lost with a response whose head was written before they came.
+#[tokio::test]
+async fn a_read_behind_a_response_that_is_being_streamed_is_not_lost() {
+    let result = exchange(&get("/stream", ""), &get("/b", "")).await;
+    assert_eq!(result, "started /stream, answered 200, closed");
+}
