Log the id of a response that is lost or replaced

Operators saw: a read that its target had answered and that its caller never got has no line with its id. The line of a replaced response has no id either, and the caller gets a 502 or 504 without its Request-Id, which all other refusals have. No counter tells such requests from served ones. Cause: a response that waits is read whole, so that its body has ended for DeliveredBody, and the connection that drops it knows no ids. The listener builds the replacement itself. Change: the listener is told which header holds the id. It repeats it on a replacement, and reports it with that and with each complete response that still waits when the connection ends. Not covered: a response that hyper holds in its write buffer when a write fails has no line with its id.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     http::{
-        ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
+        ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, LostResponse,
+        ReplacedResponse,
         read_ahead_stream::{
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
@@ -13,7 +14,7 @@
     to_response,
 };
 use http::{
-    HeaderValue, Request, Response, Version,
+    HeaderMap, HeaderName, HeaderValue, Request, Response, Version,
     header::{CONNECTION, CONTENT_LENGTH},
 };
 use hyper::{body::Incoming, service::service_fn};
@@ -92,6 +93,7 @@
 pub struct Listener {
     control: ListenerControl,
     early: Option<EarlyStartFilter>,
+    id_header: Option<HeaderName>,
     limits: ListenerLimits,
     observer: ListenerObserver,
     socket: TcpListener,
@@ -112,7 +114,8 @@
     pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Self> {
         let control = ListenerControl::new();
         let socket = TcpListener::bind(address).await?;
-        Ok(Self { control, early: None, limits, observer: Arc::new(|_| ()), socket })
+        let observer = Arc::new(|_: &_| ());
+        Ok(Self { control, early: None, id_header: None, limits, observer, socket })
     }
 
     /// Sets the control that drains and closes the connections. Several listeners may share it.
@@ -128,7 +131,14 @@
         self
     }
 
-    /// Reports connections that end early, and responses that are replaced.
+    /// Sets the header that holds the id of a request. Events report the id, and a response that is
+    /// replaced repeats it.
+    pub fn with_request_id(mut self, header: HeaderName) -> Self {
+        self.id_header = Some(header);
+        self
+    }
+
+    /// Reports connections that end early, and responses that are replaced or lost.
     pub fn with_observer(mut self, observer: ListenerObserver) -> Self {
         self.observer = observer;
         self
@@ -157,9 +167,11 @@
                 Ok((stream, caller)) => {
                     let (handler, limits) = (handler.clone(), self.limits);
                     let (early, observer) = (self.early.clone(), Arc::clone(&self.observer));
+                    let id_header = self.id_header.clone();
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
-                        let connection = CallerConnection { caller, early, limits, observer };
+                        let connection =
+                            CallerConnection { caller, early, id_header, limits, observer };
                         connection.serve(stream, handler, phase).await;
                         drop(permit);
                     });
@@ -175,6 +187,7 @@
 struct CallerConnection {
     caller: SocketAddr,
     early: Option<EarlyStartFilter>,
+    id_header: Option<HeaderName>,
     limits: ListenerLimits,
     observer: ListenerObserver,
 }
@@ -194,7 +207,7 @@
         if closing || stream.set_nodelay(true).is_err() {
             return;
         }
-        let Self { caller, early, limits, observer } = self;
+        let Self { caller, early, id_header, limits, observer } = self;
         let http2 = Arc::new(AtomicBool::new(false));
         let is_http2 = Arc::clone(&http2);
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
@@ -211,10 +224,12 @@
         let busy = Arc::new(AtomicUsize::new(0));
         let (in_progress, observe) = (Arc::clone(&busy), Arc::clone(&observer));
         let (pipelined, serve) = (stream.clone(), handler.clone());
+        let header = id_header.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
             is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             let next = pipelined.pop_pipelined();
+            let id = header.clone().and_then(|name| find_id(request.headers(), name));
             let (stream, serve) = (pipelined.clone(), serve.clone());
             let (busy, observe) = (Arc::clone(&in_progress), Arc::clone(&observe));
             async move {
@@ -222,8 +237,10 @@
                 let serve = |request: Request<Incoming>| serve(request.map(to_body), caller);
                 let result = respond(&stream, next, request, serve).await;
                 let mut response = result.unwrap_or_else(|refusal| {
-                    let response = to_response(&refusal);
-                    observe(&ReplacedResponse { caller, refusal }.into());
+                    let mut response = to_response(&refusal);
+                    response.headers_mut().extend(id.clone());
+                    let id = id.map(|(_, value)| value);
+                    observe(&ReplacedResponse { caller, id, refusal }.into());
                     response
                 });
                 normalize_framing(&mut response);
@@ -245,7 +262,12 @@
         // request body.
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
         let end = |error: Option<String>| {
-            let unanswered = busy.load(Ordering::Relaxed) + stream.started();
+            let waiting = stream.take_started();
+            let unanswered = busy.load(Ordering::Relaxed) + waiting.len();
+            for (head, _) in waiting.iter().filter(|(_, response)| response.is_complete()) {
+                let id = id_header.as_ref().and_then(|name| head.headers().get(name)).cloned();
+                observer(&LostResponse { caller, id }.into());
+            }
             if error.is_some() || unanswered > 0 {
                 observer(&ConnectionEnd { caller, error, unanswered }.into());
             }
@@ -334,6 +356,12 @@
     }
 }
 
+/// Returns the header that holds the id of a request.
+fn find_id(headers: &HeaderMap, name: HeaderName) -> Option<(HeaderName, HeaderValue)> {
+    let value = headers.get(&name)?.clone();
+    Some((name, value))
+}
+
 /// Describes an error with its causes.
 fn describe(error: &(dyn Error + Send + Sync)) -> String {
     let mut text = error.to_string();
--- a/crates/adapters/src/http/listener_event.rs
+++ b/crates/adapters/src/http/listener_event.rs
@@ -2,14 +2,26 @@
 
 use super::ConnectionEnd;
 use derive_more::From;
+use http::HeaderValue;
 use std::{net::SocketAddr, sync::Arc};
 use steer::Refusal;
 
+/// A whole response that waited for its turn on a connection, and was dropped when that ended.
+#[derive(Clone, Debug)]
+pub struct LostResponse {
+    /// The caller.
+    pub caller: SocketAddr,
+    /// Id of the request, if it has one.
+    pub id: Option<HeaderValue>,
+}
+
 /// A response that failed before any of it was written, and that was replaced by a refusal.
 #[derive(Clone, Debug)]
 pub struct ReplacedResponse {
     /// The caller.
     pub caller: SocketAddr,
+    /// Id of the request, if it has one.
+    pub id: Option<HeaderValue>,
     /// What the caller received instead.
     pub refusal: Refusal,
 }
@@ -19,6 +31,8 @@
 pub enum ListenerEvent {
     /// The connection ended before all of its requests were answered, or with an error.
     Ended(ConnectionEnd),
+    /// A whole response was lost.
+    Lost(LostResponse),
     /// A response was replaced.
     Replaced(ReplacedResponse),
 }
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -23,6 +23,6 @@
     incoming_body::to_body,
     listener::{EarlyStartFilter, Listener, ListenerLimits},
     listener_control::{ListenerControl, ListenerPhase},
-    listener_event::{ListenerEvent, ListenerObserver, ReplacedResponse},
+    listener_event::{ListenerEvent, ListenerObserver, LostResponse, ReplacedResponse},
     pooled_connection::ExchangeId,
 };
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -130,6 +130,16 @@
         self.lock().started()
     }
 
+    /// Removes and returns the requests that were started early and that hyper hasn't read.
+    pub(super) fn take_started(&self) -> Vec<(Box<Request<()>>, T)> {
+        let pipelined = std::mem::take(&mut self.lock().pipelined);
+        let started = pipelined.into_iter().filter_map(|pipelined| match pipelined {
+            PipelinedRequest::Started(head, response) => Some((head, response)),
+            PipelinedRequest::Deferred | PipelinedRequest::Ready(..) => None,
+        });
+        started.collect()
+    }
+
     /// Waits until hyper has read all requests that were started early. Must be polled after hyper.
     pub(super) fn poll_none_started(&self) -> Poll<()> {
         if self.started() == 0 { Poll::Ready(()) } else { Poll::Pending }
--- a/crates/adapters/src/http/waiting_response.rs
+++ b/crates/adapters/src/http/waiting_response.rs
@@ -43,6 +43,11 @@
         Self { task: AbortOnDropHandle::new(task), turn }
     }
 
+    /// Returns whether the response is complete and only waits for its turn.
+    pub(super) fn is_complete(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Returns the response now that its turn has come. The request is never sent again: it has
     /// used its attempts.
     ///
--- a/crates/adapters/tests/listener_events.rs
+++ b/crates/adapters/tests/listener_events.rs
@@ -40,6 +40,7 @@
 fn ends(events: &Mutex<Vec<ListenerEvent>>) -> Vec<String> {
     let describe = |event: &ListenerEvent| match event {
         ListenerEvent::Ended(end) => format!("{} unanswered, {:?}", end.unanswered, end.error),
+        ListenerEvent::Lost(lost) => format!("lost {:?}", lost.id),
         ListenerEvent::Replaced(replaced) => replaced.refusal.detail.clone(),
     };
     events.lock().unwrap().iter().map(describe).collect()
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -5,14 +5,14 @@
     router_settings::RouterSettings,
 };
 use adapters::{
-    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerEvent, ListenerLimits,
-    LogFormat, MetricAggregator, OtelTracer, RpcPeers, StatsdMeter, handle_metrics, open_log,
-    serve_fleet,
+    ConnectionPool, HttpTargets, Listener, ListenerControl, ListenerLimits, LogFormat,
+    MetricAggregator, OtelTracer, RpcPeers, StatsdMeter, handle_metrics, open_log, serve_fleet,
 };
 use lexopt::Parser;
 use platform::{
-    PlatformTargets, StoreClient, StoreVmRegistry, configuration_registry, evacuation_registry,
-    handle_directory, handle_ready, handle_request, may_start_early, target_registry, vm_registry,
+    PlatformTargets, REQUEST_ID, StoreClient, StoreVmRegistry, configuration_registry,
+    evacuation_registry, handle_directory, handle_ready, handle_request, log_listener_event,
+    may_start_early, target_registry, vm_registry,
 };
 use slog::{Level, info, warn};
 use std::{
@@ -196,6 +196,7 @@
     let limits = ListenerLimits { head_timeout: CALLER_IDLE_TIMEOUT, ..ListenerLimits::default() };
     let callers = limits.connections(settings.max_connections());
     let callers = Listener::bind(settings.callers, callers).await?.with_control(control);
+    let callers = callers.with_request_id(REQUEST_ID);
     let directory = Listener::bind(settings.directory, limits).await?;
     let ready = Listener::bind(settings.ready, limits).await?;
     let r = Arc::clone(router);
@@ -220,22 +221,6 @@
     Ok(())
 }
 
-fn log_listener_event(router: &Router, event: &ListenerEvent) {
-    let Some(dropped) = router.try_acquire_log_line() else { return };
-    match event {
-        ListenerEvent::Ended(end) => {
-            info!(router.log(), "callers: connection ended early"; "caller" => %end.caller,
-                "error" => end.error.as_deref(), "unanswered" => end.unanswered,
-                "dropped" => dropped);
-        }
-        ListenerEvent::Replaced(replaced) => {
-            info!(router.log(), "callers: response replaced"; "caller" => %replaced.caller,
-                "kind" => replaced.refusal.kind.slug(), "detail" => &replaced.refusal.detail,
-                "dropped" => dropped);
-        }
-    }
-}
-
 /// Starts the metrics listener; gauges are updated on each request.
 async fn serve_metrics(
     settings: &RouterSettings,
