Report whether the caller or this side ended a connection

Cause: with nothing buffered hyper reads the caller's end itself, and reports it as its own error. Change: what ended the connection is the caller if the end or an error was read from it, else an error, else the listener itself. An end by the caller with all requests answered isn't reported any more.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{
-        ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, LostResponse,
+        ConnectionEnd, EndCause, ListenerControl, ListenerObserver, ListenerPhase, LostResponse,
         ReplacedResponse,
         read_ahead_stream::{
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
@@ -268,8 +268,14 @@
                 let id = id_header.as_ref().and_then(|name| head.headers().get(name)).cloned();
                 observer(&LostResponse { caller, id }.into());
             }
-            if error.is_some() || unanswered > 0 {
-                observer(&ConnectionEnd { caller, error, unanswered }.into());
+            // Hyper reports an end that it reads before the response as an error.
+            let cause = match error {
+                _ if stream.is_closed_by_caller() => EndCause::Caller,
+                Some(error) => EndCause::Error(error),
+                None => EndCause::Listener,
+            };
+            if unanswered > 0 || matches!(cause, EndCause::Error(_)) {
+                observer(&ConnectionEnd { caller, cause, unanswered }.into());
             }
         };
         let mut closing = false;
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -16,7 +16,7 @@
 mod write_timeout;
 
 pub use self::{
-    connection_end::ConnectionEnd,
+    connection_end::{ConnectionEnd, EndCause},
     connection_pool::ConnectionPool,
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -130,6 +130,11 @@
         self.lock().started()
     }
 
+    /// Returns whether the caller's end of the stream, or an error, has been read.
+    pub(super) fn is_closed_by_caller(&self) -> bool {
+        self.lock().eof
+    }
+
     /// Removes and returns the requests that were started early and that hyper hasn't read.
     pub(super) fn take_started(&self) -> Vec<(Box<Request<()>>, T)> {
         let pipelined = std::mem::take(&mut self.lock().pipelined);
