Count no cancelled HTTP/2 stream as unanswered

Operators saw: 'connection ended early' with unanswered requests for a connection of HTTP/2 on which the caller had cancelled a stream some time before and got all other responses. Cause: the count goes down behind the response, which a request whose future is dropped never reaches. Change: a guard counts the request down when it is dropped. Evidence: a_cancelled_http2_stream_is_not_unanswered_when_its_connection_ends, without the change left: ["1 unanswered, caller"] right: [] with it it passes, and the ends by the caller still report 1 and 2 unanswered requests.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -233,7 +233,7 @@
             let (stream, serve) = (pipelined.clone(), serve.clone());
             let (busy, observe) = (Arc::clone(&in_progress), Arc::clone(&observe));
             async move {
-                busy.fetch_add(1, Ordering::Relaxed);
+                let processing = ProcessingGuard::new(busy);
                 let serve = |request: Request<Incoming>| serve(request.map(to_body), caller);
                 let result = respond(&stream, next, request, serve).await;
                 let mut response = result.unwrap_or_else(|refusal| {
@@ -245,7 +245,7 @@
                 });
                 normalize_framing(&mut response);
                 set_close(&mut response, &stream);
-                busy.fetch_sub(1, Ordering::Relaxed);
+                drop(processing);
                 let passing = stream.pass_response();
                 Ok::<_, Infallible>(response.map(|body| hold_until_end(body, passing)))
             }
@@ -314,6 +314,22 @@
     }
 }
 
+/// Counts a request that is processed, until its response is passed on or it is cancelled.
+struct ProcessingGuard(Arc<AtomicUsize>);
+
+impl ProcessingGuard {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for ProcessingGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Answers a request that hyper has read; it may have been started early.
 async fn respond<S, F>(
     stream: &ReadAheadStream<WaitingResponse>,
