Ask the filter once about a pipelined request

No caller saw this. Cause: each poll of a connection's task, so each received byte of a later request, asked again about every pipelined request that had been rejected, and cloned its head before asking. Change: a rejected request is left to hyper, and the head is cloned once the filter has allowed it. A new configuration or a VM that begins to serve doesn't start such a request early any more. Evidence: the_filter_is_asked_once_about_a_request_that_it_rejects, without the change left: 56 right: 2: about /b and /c with it 2.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -218,8 +218,10 @@
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
-            let request = head.clone().map(|()| empty_body());
-            allowed.then(|| WaitingResponse::start(handler(request, caller)))
+            allowed.then(|| {
+                let request = head.clone().map(|()| empty_body());
+                WaitingResponse::start(handler(request, caller))
+            })
         };
         let busy = Arc::new(AtomicUsize::new(0));
         let (in_progress, observe) = (Arc::clone(&busy), Arc::clone(&observer));
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -186,8 +186,9 @@
         self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
     }
 
-    /// Reads ahead and starts pipelined requests. Must be polled after hyper, so that only requests
-    /// that wait behind the current one are left in the queue.
+    /// Reads ahead and starts pipelined requests; one that `start` rejects is left to hyper. Must be
+    /// polled after hyper, so that only requests that wait behind the current one are left in the
+    /// queue.
     pub(super) fn poll_read_ahead(
         &self,
         cx: &mut Context<'_>,
@@ -200,10 +201,11 @@
             if let PipelinedRequest::Ready(request, offset) = pipelined
                 && consumed >= *offset
                 && may_start
-                && let Some(started) = start(request)
             {
-                let request = std::mem::take(request);
-                *pipelined = PipelinedRequest::Started(request, started);
+                *pipelined = match start(request) {
+                    Some(started) => PipelinedRequest::Started(std::mem::take(request), started),
+                    None => PipelinedRequest::Deferred,
+                };
             }
         }
         if state.eof {
--- a/crates/adapters/tests/early_start_limits.rs
+++ b/crates/adapters/tests/early_start_limits.rs
@@ -10,17 +10,23 @@
 use std::{
     fmt::Write,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use steer::{Body, BodyError, full_body};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    sync::Semaphore,
     time::{sleep, timeout},
 };
 
 const PROCESSING_TIME: Duration = Duration::from_millis(200);
+/// Time after which a test gives up; no result depends on it.
+const MAX_WAIT: Duration = Duration::from_secs(30);
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A body that breaks off after some time.
@@ -98,6 +104,54 @@
     insta::assert_snapshot!(table);
 }
 
+async fn wait_until(holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(MAX_WAIT, wait).await.unwrap();
+}
+
+/// Every received byte polls the connection's task.
+#[tokio::test]
+async fn the_filter_is_asked_once_about_a_request_that_it_rejects() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let bound = Listener::bind(any, ListenerLimits::default()).await.unwrap();
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let listener = bound.with_early_start(Arc::new(move |_| {
+        count.fetch_add(1, Ordering::SeqCst);
+        false
+    }));
+    let address = listener.address().unwrap();
+    let all_sent = Arc::new(Semaphore::new(0));
+    let permits = Arc::clone(&all_sent);
+    tokio::spawn(listener.serve(move |request, _| {
+        let permits = Arc::clone(&permits);
+        async move {
+            permits.acquire().await.unwrap().forget();
+            Response::new(full_body(request.uri().path().to_owned()))
+        }
+    }));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.write_all((get("/a", "") + &get("/b", "")).as_bytes()).await.unwrap();
+    for byte in get("/c", "").bytes() {
+        stream.write_all(&[byte]).await.unwrap();
+        sleep(Duration::from_millis(1)).await;
+    }
+    wait_until(|| asked.load(Ordering::SeqCst) >= 2).await;
+    all_sent.add_permits(3);
+    let mut received = String::new();
+    while !received.ends_with("/c") {
+        let mut bytes = [0; 1024];
+        let length = stream.read(&mut bytes).await.unwrap();
+        received.push_str(std::str::from_utf8(&bytes[..length]).unwrap());
+    }
+    assert_eq!(asked.load(Ordering::SeqCst), 2, "about /b and /c");
+}
+
 /// Guards against reads that are lost with a response whose head was written before they came.
 #[tokio::test]
 async fn a_read_behind_a_response_that_is_being_streamed_is_not_lost() {
