Bound the memory of waiting responses of all connections

Cause: each connection holds up to 16 waiting responses of 64 KiB, and nothing bounds their sum. Change: a listener holds at most 256 requests that were started early and whose turn hasn't come. Each may hold 64 KiB of its own, and keep 64 KiB of the response before it from being passed on: 32 MiB. Beyond that no request starts early; it runs at its turn. The room that buffers grow by isn't counted. Evidence: all_connections_share_a_limit_on_requests_that_are_started_early, 30 connections of 16 requests. The memory of a process was not measured again.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -8,7 +8,7 @@
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
         to_body,
-        waiting_response::{Turn, WaitingResponse, catch_panic, hold_until_turn},
+        waiting_response::{Turn, WaitingLimit, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
@@ -161,17 +161,24 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let waiting = WaitingLimit::new();
         loop {
             let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
             match self.socket.accept().await {
                 Ok((stream, caller)) => {
                     let (handler, limits) = (handler.clone(), self.limits);
                     let (early, observer) = (self.early.clone(), Arc::clone(&self.observer));
-                    let id_header = self.id_header.clone();
+                    let (id_header, waiting) = (self.id_header.clone(), waiting.clone());
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
-                        let connection =
-                            CallerConnection { caller, early, id_header, limits, observer };
+                        let connection = CallerConnection {
+                            caller,
+                            early,
+                            id_header,
+                            limits,
+                            observer,
+                            waiting,
+                        };
                         connection.serve(stream, handler, phase).await;
                         drop(permit);
                     });
@@ -190,6 +197,7 @@
     id_header: Option<HeaderName>,
     limits: ListenerLimits,
     observer: ListenerObserver,
+    waiting: WaitingLimit,
 }
 
 impl CallerConnection {
@@ -207,7 +215,7 @@
         if closing || stream.set_nodelay(true).is_err() {
             return;
         }
-        let Self { caller, early, id_header, limits, observer } = self;
+        let Self { caller, early, id_header, limits, observer, waiting } = self;
         let http2 = Arc::new(AtomicBool::new(false));
         let is_http2 = Arc::clone(&http2);
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
@@ -218,10 +226,9 @@
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
-            allowed.then(|| {
-                let request = head.clone().map(|()| empty_body());
-                WaitingResponse::start(handler(request, caller))
-            })
+            let permit = allowed.then(|| waiting.try_acquire()).flatten()?;
+            let request = head.clone().map(|()| empty_body());
+            Some(WaitingResponse::start(handler(request, caller), permit))
         };
         let busy = Arc::new(AtomicUsize::new(0));
         let (in_progress, observe) = (Arc::clone(&busy), Arc::clone(&observer));
--- a/crates/adapters/src/http/waiting_response.rs
+++ b/crates/adapters/src/http/waiting_response.rs
@@ -5,16 +5,20 @@
 use http::Response;
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use std::{panic::AssertUnwindSafe, pin::pin};
+use std::{panic::AssertUnwindSafe, pin::pin, sync::Arc};
 use steer::{Body, ErrorKind, Refusal, ResponseDeadline, full_body, prepend_frame};
 use tokio::{
-    sync::oneshot,
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
     time::{Instant, sleep_until},
 };
 use tokio_util::task::AbortOnDropHandle;
 
 /// Number of bytes of a body that are read while its response waits, or others wait behind it.
 const MAX_WAITING_BYTES: usize = 64 << 10;
+/// Maximum number of requests of a listener that were started early and whose turn hasn't come. Each
+/// may hold its own response and keep the one before it from being passed on, so that all of them hold
+/// 32 MiB.
+const MAX_WAITING: usize = (32 << 20) / (2 * MAX_WAITING_BYTES);
 
 /// What waits behind a response whose turn has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,22 +29,41 @@
     Last,
 }
 
+/// Bounds the memory of all waiting responses of a listener.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingLimit(Arc<Semaphore>);
+
+impl WaitingLimit {
+    pub(super) fn new() -> Self {
+        Self(Arc::new(Semaphore::new(MAX_WAITING)))
+    }
+
+    /// Returns a permit for another waiting response, unless there are too many.
+    pub(super) fn try_acquire(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.0).try_acquire_owned().ok()
+    }
+}
+
 /// Response to a request that was started early. Dropping it cancels the request.
 #[derive(Debug)]
 pub(super) struct WaitingResponse {
+    _permit: OwnedSemaphorePermit,
     task: AbortOnDropHandle<Result<Response<Body>, Refusal>>,
     turn: oneshot::Sender<Turn>,
 }
 
 impl WaitingResponse {
     /// Starts a request whose response waits for its turn.
-    pub(super) fn start(response: impl Future<Output = Response<Body>> + Send + 'static) -> Self {
+    pub(super) fn start(
+        response: impl Future<Output = Response<Body>> + Send + 'static,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
         let (turn, is_turn) = oneshot::channel();
         let task = tokio::spawn(async move {
             let response = catch_panic(response).await?;
             hold_until_turn(response, async { is_turn.await.unwrap_or(Turn::Last) }).await
         });
-        Self { task: AbortOnDropHandle::new(task), turn }
+        Self { _permit: permit, task: AbortOnDropHandle::new(task), turn }
     }
 
     /// Returns whether the response is complete and only waits for its turn.
--- a/crates/adapters/tests/early_start_limits.rs
+++ b/crates/adapters/tests/early_start_limits.rs
@@ -4,6 +4,7 @@
 
 use adapters::{Listener, ListenerLimits};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -27,6 +28,10 @@
 const PROCESSING_TIME: Duration = Duration::from_millis(200);
 /// Time after which a test gives up; no result depends on it.
 const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Number of connections that together pipeline more requests than may be started early.
+const CONNECTIONS: usize = 30;
+/// Number of requests on each of these connections.
+const PIPELINED: usize = 16;
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A body that breaks off after some time.
@@ -152,6 +157,47 @@
     assert_eq!(asked.load(Ordering::SeqCst), 2, "about /b and /c");
 }
 
+/// Guards against memory for waiting responses that grows with the number of connections.
+#[tokio::test]
+async fn all_connections_share_a_limit_on_requests_that_are_started_early() {
+    let requests = PIPELINED * CONNECTIONS;
+    let any = "127.0.0.1:0".parse().unwrap();
+    let bound = Listener::bind(any, ListenerLimits::default()).await.unwrap();
+    let (asked, started) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let count = Arc::clone(&asked);
+    let listener = bound.with_early_start(Arc::new(move |_| {
+        count.fetch_add(1, Ordering::SeqCst);
+        true
+    }));
+    let address = listener.address().unwrap();
+    let all_asked = Arc::new(Semaphore::new(0));
+    let (permits, count) = (Arc::clone(&all_asked), Arc::clone(&started));
+    tokio::spawn(listener.serve(move |_, _| {
+        count.fetch_add(1, Ordering::SeqCst);
+        let permits = Arc::clone(&permits);
+        async move {
+            permits.acquire().await.unwrap().forget();
+            Response::new(full_body("whole"))
+        }
+    }));
+    let callers = join_all((0..CONNECTIONS).map(|_| async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(get("/", "").repeat(PIPELINED).as_bytes()).await.unwrap();
+        stream
+    }))
+    .await;
+    wait_until(|| asked.load(Ordering::SeqCst) == requests - CONNECTIONS).await;
+    assert_eq!(started.load(Ordering::SeqCst), CONNECTIONS + 256, "32 MiB of 2 x 64 KiB each");
+    all_asked.add_permits(requests);
+    for mut caller in callers {
+        let mut received = Vec::new();
+        while String::from_utf8_lossy(&received).matches("whole").count() < PIPELINED {
+            assert!(caller.read_buf(&mut received).await.unwrap() > 0);
+        }
+    }
+    assert_eq!(started.load(Ordering::SeqCst), requests);
+}
+
 /// Guards against reads that are lost with a response whose head was written before they came.
 #[tokio::test]
 async fn a_read_behind_a_response_that_is_being_streamed_is_not_lost() {
