--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -2,18 +2,19 @@
 
 use crate::{
     http::{
-        ConnectionEnd, ListenerControl, ListenerObserver, ListenerPhase, ReplacedResponse,
+        ConnectionEnd, EndCause, ListenerControl, ListenerObserver, ListenerPhase, LostResponse,
+        ReplacedResponse,
         read_ahead_stream::{
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
         to_body,
-        waiting_response::{ReadOn, WaitingResponse, catch_panic, hold_until_turn},
+        waiting_response::{ReadOn, WaitingLimit, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
     },
     to_response,
 };
 use http::{
-    HeaderValue, Request, Response, Version,
+    HeaderMap, HeaderName, HeaderValue, Request, Response, Version,
     header::{CONNECTION, CONTENT_LENGTH},
 };
 use hyper::{body::Incoming, service::service_fn};
@@ -93,6 +94,7 @@
 pub struct Listener {
     control: ListenerControl,
     early: Option<EarlyStartFilter>,
+    id_header: Option<HeaderName>,
     limits: ListenerLimits,
     observer: ListenerObserver,
     socket: TcpListener,
@@ -113,7 +115,8 @@
     pub async fn bind(address: SocketAddr, limits: ListenerLimits) -> io::Result<Self> {
         let control = ListenerControl::new();
         let socket = TcpListener::bind(address).await?;
-        Ok(Self { control, early: None, limits, observer: Arc::new(|_| ()), socket })
+        let observer = Arc::new(|_: &_| ());
+        Ok(Self { control, early: None, id_header: None, limits, observer, socket })
     }
 
     /// Sets the control that drains and closes the connections. Several listeners may share it.
@@ -129,7 +132,14 @@
         self
     }
 
-    /// Reports connections that end early, and responses that are replaced.
+    /// Sets the header that holds the id of a request. Events report the id, and a response that is
+    /// replaced repeats it.
+    pub fn with_request_id(mut self, header: HeaderName) -> Self {
+        self.id_header = Some(header);
+        self
+    }
+
+    /// Reports connections that end early, and responses that are replaced or lost.
     pub fn with_observer(mut self, observer: ListenerObserver) -> Self {
         self.observer = observer;
         self
@@ -152,15 +162,24 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let waiting = WaitingLimit::new();
         loop {
             let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
             match self.socket.accept().await {
                 Ok((stream, caller)) => {
                     let (handler, limits) = (handler.clone(), self.limits);
                     let (early, observer) = (self.early.clone(), Arc::clone(&self.observer));
+                    let (id_header, waiting) = (self.id_header.clone(), waiting.clone());
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
-                        let connection = CallerConnection { caller, early, limits, observer };
+                        let connection = CallerConnection {
+                            caller,
+                            early,
+                            id_header,
+                            limits,
+                            observer,
+                            waiting,
+                        };
                         connection.serve(stream, handler, phase).await;
                         drop(permit);
                     });
@@ -176,8 +195,10 @@
 struct CallerConnection {
     caller: SocketAddr,
     early: Option<EarlyStartFilter>,
+    id_header: Option<HeaderName>,
     limits: ListenerLimits,
     observer: ListenerObserver,
+    waiting: WaitingLimit,
 }
 
 impl CallerConnection {
@@ -195,7 +216,7 @@
         if closing || stream.set_nodelay(true).is_err() {
             return;
         }
-        let Self { caller, early, limits, observer } = self;
+        let Self { caller, early, id_header, limits, observer, waiting } = self;
         let http2 = Arc::new(AtomicBool::new(false));
         let is_http2 = Arc::clone(&http2);
         // HTTP/1.0 has no chunks, so the end of the connection may end a body.
@@ -208,31 +229,36 @@
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
+            let permit = allowed.then(|| waiting.try_acquire()).flatten()?;
             let request = head.clone().map(|()| empty_body());
-            allowed.then(|| WaitingResponse::start(handler(request, caller)))
+            Some(WaitingResponse::start(handler(request, caller), permit))
         };
         let busy = Arc::new(AtomicUsize::new(0));
         let (in_progress, observe) = (Arc::clone(&busy), Arc::clone(&observer));
         let (pipelined, serve) = (stream.clone(), handler.clone());
+        let header = id_header.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
             is_requested.store(true, Ordering::Relaxed);
             is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             let next = pipelined.pop_pipelined();
+            let id = header.clone().and_then(|name| find_id(request.headers(), name));
             let (stream, serve) = (pipelined.clone(), serve.clone());
             let (busy, observe) = (Arc::clone(&in_progress), Arc::clone(&observe));
             async move {
-                busy.fetch_add(1, Ordering::Relaxed);
+                let processing = ProcessingGuard::new(busy);
                 let serve = |request: Request<Incoming>| serve(request.map(to_body), caller);
                 let result = respond(&stream, next, request, serve).await;
                 let mut response = result.unwrap_or_else(|refusal| {
-                    let response = to_response(&refusal);
-                    observe(&ReplacedResponse { caller, refusal }.into());
+                    let mut response = to_response(&refusal);
+                    response.headers_mut().extend(id.clone());
+                    let id = id.map(|(_, value)| value);
+                    observe(&ReplacedResponse { caller, id, refusal }.into());
                     response
                 });
                 normalize_framing(&mut response);
                 set_close(&mut response, &stream);
-                busy.fetch_sub(1, Ordering::Relaxed);
+                drop(processing);
                 let passing = stream.pass_response();
                 Ok::<_, Infallible>(response.map(|body| hold_until_end(body, passing)))
             }
@@ -249,9 +275,20 @@
         // request body.
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
         let end = |error: Option<String>| {
-            let unanswered = busy.load(Ordering::Relaxed) + stream.started();
-            if error.is_some() || unanswered > 0 {
-                observer(&ConnectionEnd { caller, error, unanswered }.into());
+            let waiting = stream.take_started();
+            let unanswered = busy.load(Ordering::Relaxed) + waiting.len();
+            for (head, _) in waiting.iter().filter(|(_, response)| response.is_complete()) {
+                let id = id_header.as_ref().and_then(|name| head.headers().get(name)).cloned();
+                observer(&LostResponse { caller, id }.into());
+            }
+            // Hyper reports an end that it reads before the response as an error.
+            let cause = match error {
+                _ if stream.is_closed_by_caller() => EndCause::Caller,
+                Some(error) => EndCause::Error(error),
+                None => EndCause::Listener,
+            };
+            if unanswered > 0 || matches!(cause, EndCause::Error(_)) {
+                observer(&ConnectionEnd { caller, cause, unanswered }.into());
             }
         };
         // Hyper's timeout starts with HTTP/1.1, which takes the first bytes to detect.
@@ -297,6 +334,22 @@
     }
 }
 
+/// Counts a request that is processed, until its response is passed on or it is cancelled.
+struct ProcessingGuard(Arc<AtomicUsize>);
+
+impl ProcessingGuard {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for ProcessingGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Answers a request that hyper has read; it may have been started early.
 async fn respond<S, F>(
     stream: &ReadAheadStream<WaitingResponse>,
@@ -349,6 +402,12 @@
     }
 }
 
+/// Returns the header that holds the id of a request.
+fn find_id(headers: &HeaderMap, name: HeaderName) -> Option<(HeaderName, HeaderValue)> {
+    let value = headers.get(&name)?.clone();
+    Some((name, value))
+}
+
 /// Describes an error with its causes.
 fn describe(error: &(dyn Error + Send + Sync)) -> String {
     let mut text = error.to_string();
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -18,13 +18,13 @@
 
 pub(crate) use self::http_targets::CROSSED;
 pub use self::{
-    connection_end::ConnectionEnd,
+    connection_end::{ConnectionEnd, EndCause},
     connection_pool::{Acceptance, ConnectionPool},
     hop_headers::{strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
     listener::{EarlyStartFilter, Listener, ListenerLimits},
     listener_control::{ListenerControl, ListenerPhase},
-    listener_event::{ListenerEvent, ListenerObserver, ReplacedResponse},
+    listener_event::{ListenerEvent, ListenerObserver, LostResponse, ReplacedResponse},
     pooled_connection::ExchangeId,
 };
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -130,6 +130,21 @@
         self.lock().started()
     }
 
+    /// Returns whether the caller's end of the stream, or an error, has been read.
+    pub(super) fn is_closed_by_caller(&self) -> bool {
+        self.lock().eof
+    }
+
+    /// Removes and returns the requests that were started early and that hyper hasn't read.
+    pub(super) fn take_started(&self) -> Vec<(Box<Request<()>>, T)> {
+        let pipelined = std::mem::take(&mut self.lock().pipelined);
+        let started = pipelined.into_iter().filter_map(|pipelined| match pipelined {
+            PipelinedRequest::Started(head, response) => Some((head, response)),
+            PipelinedRequest::Deferred | PipelinedRequest::Ready(..) => None,
+        });
+        started.collect()
+    }
+
     /// Waits until hyper has read all requests that were started early. Must be polled after hyper.
     pub(super) fn poll_none_started(&self) -> Poll<()> {
         if self.started() == 0 { Poll::Ready(()) } else { Poll::Pending }
@@ -171,8 +186,9 @@
         self.lock().pipelined.pop_front().unwrap_or(PipelinedRequest::Deferred)
     }
 
-    /// Reads ahead and starts pipelined requests. Must be polled after hyper, so that only requests
-    /// that wait behind the current one are left in the queue.
+    /// Reads ahead and starts pipelined requests; one that `start` rejects is left to hyper. Must be
+    /// polled after hyper, so that only requests that wait behind the current one are left in the
+    /// queue.
     pub(super) fn poll_read_ahead(
         &self,
         cx: &mut Context<'_>,
@@ -185,10 +201,11 @@
             if let PipelinedRequest::Ready(request, offset) = pipelined
                 && consumed >= *offset
                 && may_start
-                && let Some(started) = start(request)
             {
-                let request = std::mem::take(request);
-                *pipelined = PipelinedRequest::Started(request, started);
+                *pipelined = match start(request) {
+                    Some(started) => PipelinedRequest::Started(std::mem::take(request), started),
+                    None => PipelinedRequest::Deferred,
+                };
             }
         }
         if state.eof {
