--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -210,7 +210,8 @@
         address: SocketAddr,
         id: Option<&ExchangeId>,
     ) -> Result<(PooledConnection, bool), String> {
-        while let Some(mut connection) = self.pop_idle(address) {
+        let reuse = id.is_none_or(ExchangeId::is_known);
+        while reuse && let Some(mut connection) = self.pop_idle(address) {
             let ready = timeout(Self::READY_TIMEOUT, connection.ready()).await;
             if ready == Ok(true) && connection.may_carry(id) {
                 return Ok((connection, true));
--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -271,8 +271,9 @@
                     closing = false;
                 }
                 () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
+                    // A request may have come since the select began.
                     if !requested.load(Ordering::Relaxed) {
-                        return;
+                        return end(None);
                     }
                 }
                 Ok(()) = phase.changed() => {
--- a/crates/adapters/src/http/pooled_connection.rs
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -40,6 +40,11 @@
     pub fn new(value: Option<HeaderValue>) -> Self {
         Self(value)
     }
+
+    /// Returns whether the response can be recognized.
+    pub(super) fn is_known(&self) -> bool {
+        self.0.is_some()
+    }
 }
 
 /// A connection with the task that drives it. Dropping it closes the socket at once, even if the
@@ -112,9 +117,9 @@
         }
     }
 
-    /// Returns whether another request, with this id, may be sent.
+    /// Returns whether a request with this id may be sent.
     pub(super) fn may_carry(&self, id: Option<&ExchangeId>) -> bool {
-        id.is_none_or(|id| id.0.is_some() && self.latest.as_ref() != Some(id))
+        id.is_none() || self.latest.as_ref() != id
     }
 
     /// Records that a part of the response's body has been taken.
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -195,9 +195,9 @@
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
         let id = request.headers().get(REQUEST_ID_HEADER).cloned();
-        let check = |head: &Parts| match head.headers.get(REQUEST_ID_HEADER) == id.as_ref() {
-            true => Ok(Acceptance::Head),
-            false => Err(CROSSED),
+        let check = |head: &Parts| {
+            let is_own = head.headers.get(REQUEST_ID_HEADER) == id.as_ref();
+            if is_own { Ok(Acceptance::Head) } else { Err(CROSSED) }
         };
         let mut response = self.pool.send_checked(peer, request, check).await?;
         strip_hop_headers(response.headers_mut());
