--- a/crates/soak/src/find_violations.rs
+++ b/crates/soak/src/find_violations.rs
@@ -133,16 +133,22 @@
             && self.is_vm_undisrupted(completion)
     }
 
-    /// Describes the first read that was cut in the group of a pipelined read.
+    /// Describes the first read that was cut in the group of a pipelined read, and the outcomes of
+    /// the reads before it.
     fn first_cut(&self, id: &str) -> String {
         let group = id.rsplit_once('-').map_or(id, |(group, _)| group);
-        let mut reads = (0..).map(|i| format!("{group}-{i}")).take_while(|read| read != id);
-        let cut = reads.find(|read| {
-            self.completions.get(read).is_some_and(|c| c.outcome == CallOutcome::Broken)
-        });
-        let Some(cut) = cut else { return "nothing was cut before it".to_owned() };
-        let runs = self.runs.get(&cut).into_iter().flatten();
-        format!("behind {cut} {:?}", runs.map(|run| run.style).collect::<Vec<_>>())
+        let mut before = Vec::new();
+        for read in (0..).map(|i| format!("{group}-{i}")).take_while(|read| read != id) {
+            match self.completions.get(&read).map(|completion| &completion.outcome) {
+                Some(CallOutcome::Broken) => {
+                    let runs = self.runs.get(&read).into_iter().flatten();
+                    let styles: Vec<_> = runs.map(|run| run.style).collect();
+                    return format!("behind {read} {styles:?} after {before:?}");
+                }
+                outcome => before.extend(outcome),
+            }
+        }
+        format!("nothing was cut before it, after {before:?}")
     }
 
     fn is_target_undisrupted(&self, completion: &Completion, run: &Run) -> bool {
