--- a/crates/soak/src/stand_ins/answer_style.rs
+++ b/crates/soak/src/stand_ins/answer_style.rs
@@ -24,6 +24,8 @@
     CutHead,
     /// A body with a length that breaks off.
     CutLength,
+    /// Nothing until the deadline of each request has passed.
+    Late,
     /// Whole, with a length.
     Length,
     /// A body that ends with a reset of its connection.
@@ -46,19 +48,20 @@
         Self::StalledLength,
     ];
 
-    /// Draws a style; one in 20 is faulty if faults are allowed.
+    /// Draws a style. If faults are allowed, one in 20 is faulty, and one in 40 is late.
     pub(crate) fn draw(rng: &mut SmallRng, faults: bool) -> Self {
         match rng.random_range(0..40) {
             0 | 1 if faults => Self::FAULTY[rng.random_range(0..Self::FAULTY.len())],
             0..10 => Self::Chunked,
             10..14 => Self::Unframed,
+            14 if faults => Self::Late,
             _ => Self::Length,
         }
     }
 
-    /// Whether the response arrives whole.
+    /// Whether the response arrives whole and in time.
     pub(crate) fn is_sound(self) -> bool {
-        !Self::FAULTY.contains(&self)
+        matches!(self, Self::Chunked | Self::Length | Self::Unframed)
     }
 
     /// Writes a response. Returns whether the connection stays open.
@@ -78,14 +81,17 @@
             Self::CutChunks | Self::StalledChunks => (chunked, String::new()),
             Self::CutHead => (head[..head.len() / 2].to_owned(), String::new()),
             Self::CutLength | Self::StalledLength => (length + first, String::new()),
-            Self::Length => (length + body, String::new()),
+            Self::Late | Self::Length => (length + body, String::new()),
             Self::Reset => (unframed + first, String::new()),
             Self::Unframed => (unframed + first, second.to_owned()),
         };
+        if self == Self::Late {
+            sleep(STALL).await;
+        }
         stream.write_all(first.as_bytes()).await?;
         match self {
             Self::StalledChunks | Self::StalledLength => sleep(STALL).await,
-            Self::Length => {}
+            Self::Late | Self::Length => {}
             _ => sleep(PART_PAUSE).await,
         }
         stream.write_all(second.as_bytes()).await?;
