--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -66,3 +66,17 @@
     /// A VM receives SIGTERM, and is restarted once it has exited.
     Terminate(usize),
 }
+
+impl Fault {
+    /// Whether it affects the whole fleet or a zone, not a single VM or target.
+    pub(crate) fn is_global(self) -> bool {
+        matches!(
+            self,
+            Self::Compact
+                | Self::Configure(_)
+                | Self::Evacuate(..)
+                | Self::KillAll(_)
+                | Self::Store(..)
+        )
+    }
+}
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -88,6 +88,7 @@
                     (fault, if is_burst { self.rng.random_range(2..4) } else { 1 }, 300)
                 }
             };
+            let count = if self.is_drawn_too_often(fault) { 0 } else { count };
             for i in 0..count {
                 let later = Duration::from_millis(gap_ms) * i;
                 let fault = self.apply_to_next(fault, i as usize);
@@ -98,6 +99,13 @@
         steps
     }
 
+    /// Drops most faults of the whole fleet if it is large, so that they stay as rare as in the usual
+    /// one; others grow with the number of VMs and targets.
+    fn is_drawn_too_often(&mut self, fault: Fault) -> bool {
+        let factor = self.size.factor();
+        factor > 1 && fault.is_global() && !self.rng.random_bool(1.0 / factor as f64)
+    }
+
     fn draw_notice(&mut self) -> Fault {
         let (vm, target) = self.draw_pair();
         match self.rng.random_range(0..6) {
