Count an announcement only if its response was passed on

Cause: the checker. The rule counts from a response with the announcement that the VM passed on. The checker took any request that had met the announcing target and was answered, also if another target gave the answer. Evidence: 1-27 met target 11 (head broken off: `try failed: the target failed after the request had been sent`, 63 ms, at 23:59.470), was repeated elsewhere and answered 42 ms later; the times of 15-59, 14-84 and 21-66 less their distance all give that moment, 23:59.512. VM 7 has no other response of target 11 with the announcement, nor a line `target leaves` for it, which two other VMs have. Change: among several attempts, an announcement counts if its head arrived whole and in time over an undisrupted link; an only attempt counts always. A body that breaks off still counts. Without the change, the two new cases with a lost head are violations.

--- a/crates/soak/src/find_ignored_notices.rs
+++ b/crates/soak/src/find_ignored_notices.rs
@@ -32,6 +32,7 @@
 /// Finds requests to targets that had announced that they leave, or had asked to be spared.
 pub(crate) fn find_ignored_notices(recorder: &HistoryRecorder) -> Vec<Violation> {
     let (arrivals, completions) = (recorder.arrivals(), recorder.completions());
+    let runs = recorder.runs();
     let mut pairs: BTreeMap<Pair, Exchanges> = BTreeMap::new();
     for (id, all) in &arrivals {
         // The soak ended before the other requests.
@@ -39,7 +40,13 @@
         for arrival in all {
             let Arrival { incarnation, target, .. } = *arrival;
             let pair = Pair { incarnation, target, vm: completion.vm };
-            pairs.entry(pair).or_default().add(id, *arrival, completion);
+            let exchanges = pairs.entry(pair).or_default();
+            let run = runs.get(id).into_iter().flatten().find(|run| run.target == target);
+            // If there are several arrivals, the response that was passed on may be another one.
+            let undisrupted =
+                recorder.is_undisrupted(Subject::Target(target), arrival.at, completion.at);
+            let head_arrived = run.is_some_and(|run| run.style.sends_head()) && undisrupted;
+            exchanges.add(id, *arrival, completion, all.len() == 1 || head_arrived);
         }
     }
     let mut found = Vec::new();
@@ -52,10 +59,12 @@
 }
 
 impl<'a> Exchanges<'a> {
-    fn add(&mut self, id: &'a str, arrival: Arrival, completion: &Completion) {
+    /// Adds an arrival. Its announcement counts only if `head_arrived`.
+    fn add(&mut self, id: &'a str, arrival: Arrival, completion: &Completion, head_arrived: bool) {
         self.arrivals.push((id, arrival, completion.sent));
+        let is_answer = matches!(completion.outcome, CallOutcome::Answer(_));
         match arrival.notice {
-            Some(Notice::Leaving) if matches!(completion.outcome, CallOutcome::Answer(_)) => {
+            Some(Notice::Leaving) if is_answer && head_arrived => {
                 self.leaving.push(completion.at);
             }
             Some(Notice::Pause(time)) => self.pauses.push((arrival.at, time)),
--- a/crates/soak/src/stand_ins/answer_style.rs
+++ b/crates/soak/src/stand_ins/answer_style.rs
@@ -64,6 +64,11 @@
         matches!(self, Self::Chunked | Self::Length | Self::Unframed)
     }
 
+    /// Whether a whole head arrives before the deadline.
+    pub(crate) fn sends_head(self) -> bool {
+        !matches!(self, Self::CutHead | Self::Late)
+    }
+
     /// Writes a response. Returns whether the connection stays open.
     pub(crate) async fn write(
         self,
--- a/crates/soak/tests/find_violations.rs
+++ b/crates/soak/tests/find_violations.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Records a read that target 0 answers with an announcement that it leaves, and then target 6.
+fn repeat_elsewhere(recorder: &HistoryRecorder, style: AnswerStyle) {
+    recorder.record_run("a", Run { style, ..run(0, "briefs") });
+    for (target, notice) in [(0, Some(Notice::Leaving)), (6, None)] {
+        let arrival = Arrival { at: Instant::now(), incarnation: 0, notice, target };
+        recorder.record_arrival("a", arrival);
+    }
+    recorder.record_run("a", run(6, "briefs"));
+    recorder.record_completion("a".into(), completion(whole(), Kind::Read, Instant::now()));
+}
+
 /// Records a read whose connection ends after its target has written the whole response.
 fn lose(recorder: &HistoryRecorder, style: AnswerStyle) {
     recorder.record_run("a-1", Run { style, ..run(0, "briefs") });
@@ -196,6 +207,27 @@
         3,
         |r| receive(r, &["b"], None),
     ),
+    (
+        "a read at a target that said it leaves in a body that broke off, late",
+        |r| repeat_elsewhere(r, AnswerStyle::CutLength),
+        3,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "a read at a target that said it leaves in a head that broke off, late",
+        |r| repeat_elsewhere(r, AnswerStyle::CutHead),
+        3,
+        |r| receive(r, &["b"], None),
+    ),
+    (
+        "a read at a target that said it leaves in a response that was lost, late",
+        |r| {
+            r.begin_disruption(Subject::Target(0));
+            repeat_elsewhere(r, AnswerStyle::Length);
+        },
+        3,
+        |r| receive(r, &["b"], None),
+    ),
     (
         "a read at a target that said it leaves, late, of a VM that was out of touch",
         |r| {
