Sort targets only for requests with an object

Choosing among 3,000 targets took longer than before the beliefs of a target were one state: TargetState is larger, and more is asked of it.

Change: without an object the ranking only breaks ties, so the choice compares it and the targets aren't sorted. The chosen target is the same.

--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -288,12 +288,15 @@
         if usable.iter().any(|(_, _, state)| !at_limit.contains(&state.region)) {
             usable.retain(|(_, _, state)| !at_limit.contains(&state.region));
         }
-        usable.sort_by(|(a, ..), (b, ..)| a.total_cmp(b));
-        if query.object.is_some() && !query.streamed {
-            usable.truncate(Self::REPLICAS);
+        // Without an object all targets are equal replicas, and the ranking only breaks ties.
+        if query.object.is_some() {
+            usable.sort_by(|(a, ..), (b, ..)| a.total_cmp(b));
+            if !query.streamed {
+                usable.truncate(Self::REPLICAS);
+            }
         }
         let mut ranks: BTreeMap<Distance, usize> = BTreeMap::new();
-        let costs = usable.into_iter().map(|(_, admission, state)| {
+        let costs = usable.into_iter().map(|(order, admission, state)| {
             // The replicas of a large body are ranked per distance, because a nearby one is
             // preferred.
             let near = if query.streamed { state.distance } else { Distance::Zone };
@@ -301,15 +304,17 @@
             let wait = state.wait(now, work);
             let cost = wait + cost(state, query, *rank, work, now);
             *rank = (*rank + 1).min(Self::REPLICAS);
-            (cost, wait, admission, state)
+            ((cost, order), wait, admission, state)
         });
         // A large body may go to any target that accepts it in time. Other requests wait for a
         // target that has the object cached, because an uncached run uses the capacity of
         // several cached ones.
         let max_wait = query.max_wait.as_secs_f64();
         let late = |wait: f64| query.streamed && wait > max_wait;
-        let best = costs
-            .min_by(|(a, x, ..), (b, y, ..)| late(*x).cmp(&late(*y)).then_with(|| a.total_cmp(b)));
+        let best = costs.min_by(|((a, a_order), x, ..), ((b, b_order), y, ..)| {
+            let by_cost = late(*x).cmp(&late(*y)).then_with(|| a.total_cmp(b));
+            by_cost.then_with(|| a_order.total_cmp(b_order))
+        });
         let Some((_, wait, admission, state)) = best else {
             return Err(PlacementError::Full(Self::COLD_RETRY_DELAY));
         };
