--- a/crates/soak/src/find_violations.rs
+++ b/crates/soak/src/find_violations.rs
@@ -90,7 +90,10 @@
                     Some(("a read that ran is answered", format!("not by VM {}", completion.vm)))
                 }
                 CallOutcome::Broken if self.was_cut(completion, runs) => {
-                    Some(("a planned stop cuts nothing", format!("by VM {}", completion.vm)))
+                    let ends: Vec<_> =
+                        runs.iter().map(|run| describe_run(run, completion)).collect();
+                    let detail = format!("by VM {}, ran at {ends:?}", completion.vm);
+                    Some(("a planned stop cuts nothing", detail))
                 }
                 CallOutcome::None if self.is_overdue(completion) => {
                     Some(("each request has an end", format!("none from VM {}", completion.vm)))
@@ -264,6 +267,15 @@
     }
 }
 
+/// Describes a run and when its response had been written, so that a slow target can be told from a
+/// cut.
+fn describe_run(run: &Run, completion: &Completion) -> String {
+    let since_sent = |at: Instant| at.saturating_duration_since(completion.sent).as_millis();
+    let (begun, cut) = (since_sent(run.at), since_sent(completion.at));
+    let ended = run.ended.map(since_sent);
+    format!("target {}: {:?}, {begun} to {ended:?} ms, cut at {cut} ms", run.target, run.style)
+}
+
 fn is_repeatable(kind: Kind) -> bool {
     matches!(kind, Kind::Moved | Kind::Read)
 }
