Believe a refusal that its target wrote twice

A refusal with a copy behind it in the same packet became an unknown outcome, and its Retry-After was lost with it. Both copies say that the request was not run; only a response with another status contradicts that.

--- a/crates/adapters/src/http/connection_pool.rs
+++ b/crates/adapters/src/http/connection_pool.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Acceptance {
     /// All of it, and no other response behind it on the connection; its body is discarded. For a
-    /// response that states that the request wasn't run: if another one follows, either may be true.
+    /// response that states that the request wasn't run: if another status follows, either may be true.
     Alone,
     /// Its head; the body is passed on as it arrives.
     Head,
@@ -161,7 +161,8 @@
         }
     }
 
-    /// Discards the body of a response, and fails if another response follows on its connection.
+    /// Discards the body of a response, and fails if a response with another status follows on its
+    /// connection.
     async fn read_alone(
         &self,
         address: SocketAddr,
@@ -176,8 +177,11 @@
         };
         match timeout(Self::ALONE_TIMEOUT, end).await {
             Ok(ResponseEnd::Idle) => self.check_in(address, connection),
-            Ok(ResponseEnd::Followed) => return Err(SendError::sent("another response follows")),
-            Ok(ResponseEnd::Closed) | Err(_) => {}
+            // A copy of the response contradicts nothing.
+            Ok(ResponseEnd::Followed(status)) if status != head.status => {
+                return Err(SendError::sent("another response follows"));
+            }
+            Ok(ResponseEnd::Closed | ResponseEnd::Followed(_)) | Err(_) => {}
         }
         head.headers.remove(CONTENT_LENGTH);
         Ok(Response::from_parts(head, empty_body()))
--- a/crates/adapters/src/http/pooled_connection.rs
+++ b/crates/adapters/src/http/pooled_connection.rs
@@ -1,7 +1,7 @@
 //! Client connection that carries one request at a time.
 
 use super::read_limit::{LimitedStream, ReadProgress};
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::{
     body::Incoming,
     client::conn::{
@@ -19,8 +19,6 @@
 const MAX_HEADERS: usize = 100;
 /// Largest size in bytes of the head of a response, and of the parser's buffer.
 const MAX_HEAD: usize = 64 << 10;
-/// First bytes of a response.
-const VERSION_PREFIX: &[u8] = b"HTTP/";
 
 /// Id by which the response to a request is recognized; an extension of the request. A connection
 /// isn't reused for a request with the same id as the one before, or without an id, because a second
@@ -55,8 +53,8 @@
     latest: Option<ExchangeId>,
     progress: ReadProgress,
     sender: SendRequest<Body>,
-    /// Returns whether another response began behind the last one.
-    task: AbortOnDropHandle<bool>,
+    /// Returns the status of another response that began behind the last one.
+    task: AbortOnDropHandle<Option<StatusCode>>,
 }
 
 /// State of a connection after the end of a response.
@@ -64,8 +62,8 @@
 pub(super) enum ResponseEnd {
     /// The connection is closed.
     Closed,
-    /// Another response began behind it.
-    Followed,
+    /// Another response, with this status, began behind it.
+    Followed(StatusCode),
     /// The connection can carry a request.
     Idle,
 }
@@ -83,7 +81,7 @@
         // The pending request receives any error, so the result isn't needed.
         let task = tokio::spawn(async move {
             let _ended = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-            connection.into_parts().read_buf.starts_with(VERSION_PREFIX)
+            parse_status(&connection.into_parts().read_buf)
         });
         Ok(Self { latest: None, progress, sender, task: AbortOnDropHandle::new(task) })
     }
@@ -112,8 +110,8 @@
             return ResponseEnd::Idle;
         }
         match (&mut self.task).await {
-            Ok(true) => ResponseEnd::Followed,
-            Ok(false) | Err(_) => ResponseEnd::Closed,
+            Ok(Some(status)) => ResponseEnd::Followed(status),
+            Ok(None) | Err(_) => ResponseEnd::Closed,
         }
     }
 
@@ -131,3 +129,10 @@
         self.sender.is_closed()
     }
 }
+
+/// Returns the status of a response that begins with these bytes.
+fn parse_status(bytes: &[u8]) -> Option<StatusCode> {
+    const VERSION: usize = "HTTP/1.1 ".len();
+    let is_response = bytes.starts_with(b"HTTP/");
+    StatusCode::from_bytes(bytes.get(VERSION..VERSION + 3)?).ok().filter(|_| is_response)
+}
