Assert the status of a request whose handler panics

The row 'panic' counted the responses 200 behind the request only. Each row now asserts the head of its first response: 502 with an unknown outcome for the panic, 200 for the others. All of them pass; no code changes.

--- a/crates/adapters/tests/early_requests.rs
+++ b/crates/adapters/tests/early_requests.rs
@@ -206,6 +206,13 @@
         let read = timeout(Duration::from_secs(2), stream.read_to_end(&mut text)).await;
         let text = String::from_utf8_lossy(&text);
         assert_eq!(text.matches("HTTP/1.1 200").count(), answered, "{name}: {text}");
+        let first = if name == "panic" {
+            "HTTP/1.1 502 Bad Gateway\r\ncontent-type: application/problem+json\r\n\
+             request-outcome: unknown\r\n"
+        } else {
+            "HTTP/1.1 200 OK\r\n"
+        };
+        assert!(text.starts_with(first), "{name}: {text}");
         let closes = name == "a stopping VM" || closing;
         assert!(!closes || read.is_ok(), "{name}: the connection is still open");
     }
