Let a caller that never stops sending time out

A caller that sent SETTINGS frames, or the size line of a chunk, without end and at full speed kept its connection past its timeouts, and a VM that was to stop could not reach it.

Cause: the connection's task polls hyper first. Bytes that always arrive keep it ready until the task's budget is used up; the timers and the phase of the listener are pending then, too. Change: the timeout and the phase are polled before hyper, and one poll of the task reads 32 times (128 KiB) at most, a quarter of its budget.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -297,24 +297,9 @@
         loop {
             tokio::select! {
                 biased;
-                ended = connection.as_mut() => {
-                    if ended.is_err() && unframed.load(Ordering::Relaxed) {
-                        stream.reset_on_close();
-                    }
-                    return end(ended.err().map(|error| describe(&*error)));
-                }
-                read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
-                    ReadAhead::Data => {}
-                    // The caller closed the connection; returning drops its requests and so cancels
-                    // them at their targets.
-                    ReadAhead::Eof => return end(None),
-                },
-                // Hyper closes after the response that it writes next, so the shutdown waits for
-                // the requests that were started early.
-                () = poll_fn(|_| stream.poll_none_started()), if closing => {
-                    connection.as_mut().graceful_shutdown();
-                    closing = false;
-                }
+                // Never ready, so nothing is left to do here.
+                () = poll_fn(|_| stream.poll_begin()) => {}
+                // Before the connection, which a caller that never stops sending keeps ready.
                 () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
                     // A request may have come since the select began.
                     if !requested.load(Ordering::Relaxed) {
@@ -330,6 +315,24 @@
                     let sends_goaway = http2.load(Ordering::Relaxed);
                     closing = sends_goaway || now == ListenerPhase::Closing;
                 }
+                ended = connection.as_mut() => {
+                    if ended.is_err() && unframed.load(Ordering::Relaxed) {
+                        stream.reset_on_close();
+                    }
+                    return end(ended.err().map(|error| describe(&*error)));
+                }
+                // Hyper closes after the response that it writes next, so the shutdown waits for
+                // the requests that were started early.
+                () = poll_fn(|_| stream.poll_none_started()), if closing => {
+                    connection.as_mut().graceful_shutdown();
+                    closing = false;
+                }
+                read = poll_fn(|cx| stream.poll_read_ahead(cx, start)) => match read {
+                    ReadAhead::Data => {}
+                    // The caller closed the connection; returning drops its requests and so cancels
+                    // them at their targets.
+                    ReadAhead::Eof => return end(None),
+                },
             }
         }
     }
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -20,6 +20,9 @@
 
 /// Maximum number of bytes buffered before hyper reads them.
 const MAX_READ_AHEAD: usize = 64 << 10;
+/// Maximum number of reads in one poll of the connection's task. A caller that never stops sending
+/// would else use up the task's budget, and the timers of its requests would not fire.
+const MAX_READS: usize = 32;
 /// Size of a single read in bytes.
 const READ_SIZE: usize = 4 << 10;
 /// Maximum number of headers of a request that is parsed ahead; hyper alone parses a request with
@@ -77,6 +80,8 @@
     /// be lost with a response that breaks off.
     passing: usize,
     pipelined: VecDeque<PipelinedRequest<T>>,
+    /// Number of reads in the current poll of the connection's task.
+    reads: usize,
     /// Number of bytes received from the caller.
     received: u64,
     stream: WriteTimeout,
@@ -115,6 +120,7 @@
             limits,
             passing: 0,
             pipelined: VecDeque::new(),
+            reads: 0,
             received: 0,
             stream,
         };
@@ -150,6 +156,12 @@
         if self.started() == 0 { Poll::Ready(()) } else { Poll::Pending }
     }
 
+    /// Begins a poll of the connection's task. Must be polled before hyper; never ready.
+    pub(super) fn poll_begin(&self) -> Poll<()> {
+        self.lock().reads = 0;
+        Poll::Pending
+    }
+
     /// Stops starting requests early, as the connection is about to close.
     pub(super) fn stop_early_starts(&self) {
         self.lock().closing = true;
@@ -239,6 +251,11 @@
 
     /// Reads once from the connection and parses the received bytes.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.reads >= MAX_READS {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        self.reads += 1;
         let mut bytes = [0; READ_SIZE];
         let mut buf = ReadBuf::new(&mut bytes);
         let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
