Track the requests of a connection in a type of its own

The listener kept four counters and flags of a connection in local variables, each with a clone for the service. RequestTracker holds them; the builder of connections is a function. No behaviour changes.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -7,6 +7,7 @@
         read_ahead_stream::{
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
+        request_tracker::RequestTracker,
         to_body,
         waiting_response::{ReadOn, WaitingLimit, WaitingResponse, catch_panic, hold_until_turn},
         write_timeout::WriteTimeout,
@@ -30,10 +31,7 @@
     io,
     net::SocketAddr,
     pin::pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    sync::Arc,
     time::Duration,
 };
 use steer::{Body, Refusal, empty_body, hold_until_end};
@@ -217,14 +215,7 @@
             return;
         }
         let Self { caller, early, id_header, limits, observer, waiting } = self;
-        let http2 = Arc::new(AtomicBool::new(false));
-        let is_http2 = Arc::clone(&http2);
-        // HTTP/1.0 has no chunks, so the end of the connection may end a body.
-        let unframed = Arc::new(AtomicBool::new(false));
-        let is_unframed = Arc::clone(&unframed);
         let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
-        let requested = Arc::new(AtomicBool::new(false));
-        let is_requested = Arc::clone(&requested);
         let stream: ReadAheadStream<WaitingResponse> =
             ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
         let start = |head: &Request<()>| {
@@ -233,20 +224,17 @@
             let request = head.clone().map(|()| empty_body());
             Some(WaitingResponse::start(handler(request, caller), permit))
         };
-        let busy = Arc::new(AtomicUsize::new(0));
-        let (in_progress, observe) = (Arc::clone(&busy), Arc::clone(&observer));
+        let requests: Arc<RequestTracker> = Arc::default();
+        let (tracker, observe) = (Arc::clone(&requests), Arc::clone(&observer));
         let (pipelined, serve) = (stream.clone(), handler.clone());
         let header = id_header.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
-            is_requested.store(true, Ordering::Relaxed);
-            is_unframed.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
+            let processing = tracker.begin(request.version());
             let next = pipelined.pop_pipelined();
             let id = header.clone().and_then(|name| find_id(request.headers(), name));
             let (stream, serve) = (pipelined.clone(), serve.clone());
-            let (busy, observe) = (Arc::clone(&in_progress), Arc::clone(&observe));
+            let observe = Arc::clone(&observe);
             async move {
-                let processing = ProcessingGuard::new(busy);
                 let serve = |request: Request<Incoming>| serve(request.map(to_body), caller);
                 let result = respond(&stream, next, request, serve).await;
                 let mut response = result.unwrap_or_else(|refusal| {
@@ -263,20 +251,13 @@
                 Ok::<_, Infallible>(response.map(|body| hold_until_end(body, passing)))
             }
         });
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.head_timeout)
-            .max_buf_size(limits.max_head)
-            .max_headers(limits.max_headers);
-        builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_head as u32);
+        let builder = http_builder(&limits);
         // A connection error ends this connection only; the handler sees it as an error of the
         // request body.
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
         let end = |error: Option<String>| {
             let waiting = stream.take_started();
-            let unanswered = busy.load(Ordering::Relaxed) + waiting.len();
+            let unanswered = requests.processing() + waiting.len();
             for (head, _) in waiting.iter().filter(|(_, response)| response.is_complete()) {
                 let id = id_header.as_ref().and_then(|name| head.headers().get(name)).cloned();
                 observer(&LostResponse { caller, id }.into());
@@ -300,9 +281,9 @@
                 // Never ready, so nothing is left to do here.
                 () = poll_fn(|_| stream.poll_begin()) => {}
                 // Before the connection, which a caller that never stops sending keeps ready.
-                () = &mut head_timeout, if !requested.load(Ordering::Relaxed) => {
+                () = &mut head_timeout, if !requests.has_requests() => {
                     // A request may have come since the select began.
-                    if !requested.load(Ordering::Relaxed) {
+                    if !requests.has_requests() {
                         return end(None);
                     }
                 }
@@ -312,11 +293,11 @@
                         continue;
                     }
                     stream.stop_early_starts();
-                    let sends_goaway = http2.load(Ordering::Relaxed);
+                    let sends_goaway = requests.is_http2();
                     closing = sends_goaway || now == ListenerPhase::Closing;
                 }
                 ended = connection.as_mut() => {
-                    if ended.is_err() && unframed.load(Ordering::Relaxed) {
+                    if ended.is_err() && requests.is_unframed() {
                         stream.reset_on_close();
                     }
                     return end(ended.err().map(|error| describe(&*error)));
@@ -338,20 +319,17 @@
     }
 }
 
-/// Counts a request that is processed, until its response is passed on or it is cancelled.
-struct ProcessingGuard(Arc<AtomicUsize>);
-
-impl ProcessingGuard {
-    fn new(count: Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for ProcessingGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Returns a builder of connections with these limits.
+fn http_builder(limits: &ListenerLimits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head)
+        .max_headers(limits.max_headers);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_head as u32);
+    builder
 }
 
 /// Answers a request that hyper has read; it may have been started early.
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod pooled_connection;
 mod read_ahead_stream;
 mod read_limit;
+mod request_tracker;
 mod response_framing;
 mod waiting_response;
 mod write_timeout;
