--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -11,8 +11,8 @@
 use lexopt::Parser;
 use platform::{
     PlatformTargets, REQUEST_ID, StoreClient, StoreVmRegistry, configuration_registry,
-    evacuation_registry, handle_directory, handle_ready, handle_request, log_listener_event,
-    may_start_early, target_registry, vm_registry,
+    evacuation_registry, handle_directory, handle_ready, handle_request, kind_label,
+    log_listener_event, may_start_early, target_registry, vm_registry,
 };
 use slog::{Level, info, warn};
 use std::{
@@ -25,9 +25,10 @@
     time::{Duration, SystemTime},
 };
 use steer::{
-    ConfigurationFollower, EvacuationFollower, FollowTiming, Follower, NoTracer, ObjectCache,
-    Registry, RelayLimits, RelayedSource, Router, RouterParts, RouterPorts, StoreRecoveries,
-    TargetFollower, Vm, VmFollower, VmRegistry, follow_registry, poll_delegates, send_hellos,
+    ConfigurationFollower, EvacuationFollower, FollowTiming, Follower, Freshness, NoTracer,
+    ObjectCache, Registry, RelayLimits, RelayedSource, Router, RouterParts, RouterPorts,
+    StoreRecoveries, TargetFollower, Vm, VmFollower, VmRegistry, follow_registry, poll_delegates,
+    send_hellos,
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -147,8 +148,9 @@
 
     let control = ListenerControl::new();
     listen(&settings, &router, &control).await?;
-    serve_metrics(&settings, &router, aggregator, control.clone()).await?;
     let cache = ObjectCache::new();
+    let sources = (Arc::clone(&router), Arc::clone(&cache));
+    serve_metrics(&settings, sources, aggregator, control.clone()).await?;
     let _fleet = serve_fleet(Arc::clone(&router), Arc::clone(&cache), settings.peers).await?;
     info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
 
@@ -224,12 +226,11 @@
 /// Starts the metrics listener; gauges are updated on each request.
 async fn serve_metrics(
     settings: &RouterSettings,
-    router: &Arc<Router>,
+    (router, cache): (Arc<Router>, Arc<ObjectCache>),
     aggregator: MetricAggregator,
     control: ListenerControl,
 ) -> io::Result<()> {
     let listener = Listener::bind(settings.metrics, ListenerLimits::default()).await?;
-    let router = Arc::clone(router);
     tokio::spawn(listener.serve(move |request, _| {
         let version = router.routes().map_or(0, |table| table.version);
         let meter = &router.ports().meter;
@@ -237,6 +238,13 @@
         meter.gauge("fleet.known", router.fleet().known().len() as u64);
         meter.gauge("settings.version", version);
         meter.gauge("targets.known", router.target_table().names().len() as u64);
+        for (kind, Freshness { age, relayed, revision }) in cache.freshness() {
+            let label = kind_label(&kind);
+            let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            meter.gauge(&format!("known.{label}.age_ms"), age);
+            meter.gauge(&format!("known.{label}.relayed"), relayed.into());
+            meter.gauge(&format!("known.{label}.revision"), revision);
+        }
         let response = handle_metrics(&aggregator, &request);
         async move { response }
     }));
--- a/crates/steer/src/relay/change_log.rs
+++ b/crates/steer/src/relay/change_log.rs
@@ -32,15 +32,29 @@
     max_age: Duration,
     objects: BTreeMap<Arc<str>, Arc<str>>,
     read_at: Instant,
+    /// Whether a peer relayed the last confirmation.
+    relayed: bool,
     revision: u64,
 }
 
+/// Age and source of a VM's objects of one kind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Freshness {
+    /// Time since the store last confirmed the objects.
+    pub age: Duration,
+    /// Whether a peer relayed that confirmation.
+    pub relayed: bool,
+    /// Revision of the store that the objects have reached.
+    pub revision: u64,
+}
+
 impl ChangeLog {
     /// Maximum number of changes that a log keeps.
     pub const MAX_CHANGES: usize = 2_048;
 
     /// Creates a log from a listing of all objects of a kind.
     pub fn new(listing: ObjectBatch, max_age: Duration, read_at: Instant) -> Self {
+        let relayed = listing.relayed;
         let objects = listing.objects.into_iter().map(|object| (object.name, object.text));
         Self {
             changes: VecDeque::new(),
@@ -48,6 +62,7 @@
             max_age,
             objects: objects.collect(),
             read_at,
+            relayed,
             revision: listing.revision,
         }
     }
@@ -60,7 +75,9 @@
         if base_revision > self.revision || batch.revision < self.revision {
             return false;
         }
-        self.read_at = self.read_at.max(read_at);
+        if read_at >= self.read_at {
+            (self.read_at, self.relayed) = (read_at, batch.relayed);
+        }
         if batch.revision == self.revision {
             return false;
         }
@@ -111,6 +128,19 @@
         KindUpdate { age: now.duration_since(self.read_at), full, batch }
     }
 
+    /// Returns the age and source of the objects.
+    ///
+    /// ```
+    /// use steer::{ChangeLog, ObjectBatch};
+    /// let now = tokio::time::Instant::now();
+    /// let log = ChangeLog::new(ObjectBatch::new(Vec::new(), 4), Default::default(), now);
+    /// assert_eq!(log.freshness(now).revision, 4);
+    /// ```
+    pub fn freshness(&self, now: Instant) -> Freshness {
+        let age = now.duration_since(self.read_at);
+        Freshness { age, relayed: self.relayed, revision: self.revision }
+    }
+
     /// Returns the age from which the objects are stale.
     pub fn max_age(&self) -> Duration {
         self.max_age
--- a/crates/steer/src/relay/mod.rs
+++ b/crates/steer/src/relay/mod.rs
@@ -5,7 +5,7 @@
 mod relayed_source;
 
 pub use self::{
-    change_log::ChangeLog,
+    change_log::{ChangeLog, Freshness},
     object_cache::ObjectCache,
     relayed_source::{RelayLimits, RelayedSource},
 };
--- a/crates/steer/src/relay/object_cache.rs
+++ b/crates/steer/src/relay/object_cache.rs
@@ -1,6 +1,6 @@
 //! A VM's cache of the store's objects, read by its own flows and by its peers.
 
-use super::ChangeLog;
+use super::{ChangeLog, Freshness};
 use crate::{KindUpdate, ObjectBatch, UpdateQuery, UpdateReply};
 use std::{
     collections::BTreeMap,
@@ -59,6 +59,7 @@
         for (kind, KindUpdate { age, full, batch }) in reply {
             let read_at = now.checked_sub(age).unwrap_or(now);
             let Some(since) = query.revisions.get(&kind) else { continue };
+            let batch = batch.relayed();
             if !full {
                 self.extend(&kind, *since, batch, read_at);
                 continue;
@@ -68,6 +69,16 @@
         }
     }
 
+    /// Returns the age and source of the objects of each kind.
+    ///
+    /// ```
+    /// assert!(steer::ObjectCache::new().freshness().is_empty());
+    /// ```
+    pub fn freshness(&self) -> BTreeMap<Arc<str>, Freshness> {
+        let (logs, now) = (self.lock(), Instant::now());
+        logs.iter().map(|(kind, log)| (Arc::clone(kind), log.freshness(now))).collect()
+    }
+
     /// Returns the latest revision of each kind.
     pub fn revisions(&self) -> BTreeMap<Arc<str>, u64> {
         let logs = self.lock();
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -350,3 +350,30 @@
     assert_eq!(log.revision(), 4);
     assert_eq!(&*log.all().objects[0].text, "4");
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_age_and_source_of_what_a_vm_knows_are_reported() {
+    let cache = ObjectCache::new();
+    let mut table = String::new();
+    let mut describe = |text: &str| {
+        let known: Vec<_> = cache.freshness().into_values().collect();
+        writeln!(table, "{text}: {known:?}").unwrap();
+    };
+    cache.replace(KIND, ObjectBatch::new(vec![put("a", "4")], 4), LIMITS.max_age, Instant::now());
+    describe("listed from the store");
+    sleep(Duration::from_millis(700)).await;
+    describe("later");
+    let update = |ms| KindUpdate {
+        age: Duration::from_millis(ms),
+        full: false,
+        batch: ObjectBatch::new(vec![put("a", "6")], 6),
+    };
+    let query = UpdateQuery { revisions: cache.revisions(), wait: Duration::ZERO };
+    cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(300))]));
+    describe("relayed after 300 ms");
+    cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(500))]));
+    describe("relayed again, older");
+    cache.extend(KIND, 6, ObjectBatch::new(Vec::new(), 7), Instant::now());
+    describe("watched in the store");
+    insta::assert_snapshot!(table);
+}
