Keep only the latest version of an object in the change log

Callers saw nothing yet, but a delegate kept the texts of 2,048 changes and sent each of them: a few changes of a configuration of 1 MiB made a reply of several megabytes, and a series of them would have passed the memory limit. Change: the log keeps names and revisions; a reply holds each changed object once, as it is now. Followers apply states, so nothing else changes.

--- a/crates/steer/src/ports/object_source.rs
+++ b/crates/steer/src/ports/object_source.rs
@@ -18,7 +18,7 @@
 /// Objects of one kind, or changes to them, at a revision of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ObjectBatch {
-    /// Objects, oldest change first.
+    /// Objects; of several changes of one object, the last one counts.
     pub objects: Vec<RawObject>,
     /// Whether a peer relayed the objects instead of the store being read.
     pub relayed: bool,
--- a/crates/steer/src/relay/change_log.rs
+++ b/crates/steer/src/relay/change_log.rs
@@ -2,7 +2,7 @@
 
 use crate::{KindUpdate, ObjectBatch, RawObject};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -24,8 +24,9 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct ChangeLog {
-    /// Changes, each with the revision at which its batch ended.
-    changes: VecDeque<(u64, RawObject)>,
+    /// Names of changed objects, each with the revision at which its batch ended. Only the latest
+    /// text of an object is kept, in `objects`.
+    changes: VecDeque<(u64, Arc<str>)>,
     /// Changes up to this revision have been discarded.
     last_discarded: u64,
     /// Age from which the objects are stale; stale objects are neither used nor passed on to peers.
@@ -82,12 +83,12 @@
             return false;
         }
         for object in batch.objects {
+            self.changes.push_back((batch.revision, Arc::clone(&object.name)));
             if object.deleted {
                 self.objects.remove(&object.name);
             } else {
-                self.objects.insert(Arc::clone(&object.name), Arc::clone(&object.text));
+                self.objects.insert(object.name, object.text);
             }
-            self.changes.push_back((batch.revision, object));
         }
         self.revision = batch.revision;
         while self.changes.len() > Self::MAX_CHANGES {
@@ -97,6 +98,16 @@
         true
     }
 
+    /// Returns an object as it is now; one that isn't kept has been deleted.
+    fn object(&self, name: &Arc<str>) -> RawObject {
+        let text = self.objects.get(name).cloned();
+        RawObject {
+            deleted: text.is_none(),
+            name: Arc::clone(name),
+            text: text.unwrap_or_default(),
+        }
+    }
+
     /// Returns all objects.
     pub fn all(&self) -> ObjectBatch {
         let objects = self.objects.iter().map(|(name, text)| RawObject {
@@ -107,14 +118,17 @@
         ObjectBatch::new(objects.collect(), self.revision)
     }
 
-    /// Returns the changes since a revision, or `None` if some of them have been discarded. The
-    /// batch's revision is never below `revision`.
+    /// Returns the objects that changed since a revision, each as it is now, in the order of their
+    /// last changes, or `None` if some of the changes have been discarded. The batch's revision is never below `revision`.
     pub fn since(&self, revision: u64) -> Option<ObjectBatch> {
         if revision < self.last_discarded {
             return None;
         }
-        let changes = self.changes.iter().filter(|(at, _)| *at > revision);
-        let objects = changes.map(|(_, object)| object.clone()).collect();
+        let changes = self.changes.iter().rev().take_while(|(at, _)| *at > revision);
+        let mut seen = BTreeSet::new();
+        let latest = changes.map(|(_, name)| name).filter(|name| seen.insert(Arc::clone(name)));
+        let mut objects: Vec<RawObject> = latest.map(|name| self.object(name)).collect();
+        objects.reverse();
         Some(ObjectBatch::new(objects, self.revision.max(revision)))
     }
 
