Relay large objects in parts

Cause: a poll of a delegate had 0.8 s for the whole reply, whatever its size. A configuration of some hundred kilobytes doesn't pass a link of 10 Mbit/s in that time; each attempt began again from its first byte, at the next delegate or the store, while the rest of the abandoned one filled the link and held up hello messages on the same connection. Class: a deadline for a whole transfer whose size has no bound. Change: texts of 64 KiB or more are announced with length and digest and requested in parts of 64 KiB, with a poll before each part. Parts are kept when a request fails. While parts arrive, the store isn't read as well.

--- a/crates/adapters/src/peers/fleet_server.rs
+++ b/crates/adapters/src/peers/fleet_server.rs
@@ -2,7 +2,9 @@
 
 use super::{
     wire_hello::{HELLO, WireHello},
-    wire_update::{QUERY_UPDATES, WireUpdateQuery, WireUpdateReply, encode_reply},
+    wire_update::{
+        FETCH_PART, QUERY_UPDATES, WirePartQuery, WireUpdateQuery, WireUpdateReply, encode_reply,
+    },
 };
 use jsonrpsee::{
     RpcModule,
@@ -10,8 +12,10 @@
     types::{ErrorObjectOwned, Params},
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
-use steer::{ObjectCache, Router, UpdateQuery, VmHello};
+use steer::{ObjectCache, PartQuery, Router, UpdateQuery, VmHello};
 
+/// JSON-RPC error code for a version of an object that this VM doesn't have.
+const MISSING_CODE: i32 = -32002;
 /// Largest request in bytes; a hello message lists up to a few hundred VMs.
 const MAX_REQUEST_BYTES: u32 = 64 << 10;
 /// Largest response in bytes; it may hold the registrations of a few thousand targets.
@@ -46,9 +50,18 @@
             handle_updates(&params, &context.1).await
         })
         .expect("the method is registered once");
+    module
+        .register_method(FETCH_PART, |params, (_, cache), _| handle_part(&params, cache))
+        .expect("the method is registered once");
     Ok(server.start(module))
 }
 
+fn handle_part(params: &Params<'_>, cache: &ObjectCache) -> Result<String, ErrorObjectOwned> {
+    let query = PartQuery::from(params.one::<WirePartQuery>()?);
+    let missing = || ErrorObjectOwned::owned(MISSING_CODE, "no such version", None::<()>);
+    cache.part(&query).ok_or_else(missing)
+}
+
 fn handle_hello(params: &Params<'_>, router: &Router) -> Result<WireHello, ErrorObjectOwned> {
     let hello = VmHello::from(params.one::<WireHello>()?);
     let region = hello.vm.region.clone();
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -6,7 +6,9 @@
     wire_hello::{HELLO, WireHello},
     wire_lease::{LEASE, WireLeaseGrant, WireLeaseRequest},
     wire_suspects::{SUSPECTS, WireSuspects},
-    wire_update::{QUERY_UPDATES, WireUpdateQuery, WireUpdateReply, decode_reply},
+    wire_update::{
+        FETCH_PART, QUERY_UPDATES, WirePartQuery, WireUpdateQuery, WireUpdateReply, decode_reply,
+    },
 };
 use crate::{Acceptance, ConnectionPool, http::CROSSED, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
@@ -28,9 +30,9 @@
     time::Duration,
 };
 use steer::{
-    Body, ControlPart, ControlUsage, Exchange, Heartbeat, HelloPeers, PeerError, PeerMessage,
-    PeerReply, Peers, REQUEST_ID_HEADER, SendError, SettingsBatch, UpdatePeers, UpdateQuery,
-    UpdateReply, VmHello,
+    Body, ControlPart, ControlUsage, Exchange, Heartbeat, HelloPeers, PartQuery, PeerError,
+    PeerMessage, PeerReply, Peers, REQUEST_ID_HEADER, SendError, SettingsBatch, UpdatePeers,
+    UpdateQuery, UpdateReply, VmHello,
 };
 
 /// Bytes of a message besides its parameters or result: JSON-RPC envelope and WebSocket header.
@@ -226,6 +228,11 @@
             self.request(peer, method, &WireUpdateQuery::from(query)).await?;
         Ok(decode_reply(reply))
     }
+
+    async fn fetch_part(&self, peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError> {
+        let method = (FETCH_PART, ControlPart::Settings);
+        self.request(peer, method, &WirePartQuery::from(query)).await
+    }
 }
 
 impl Debug for RpcPeers {
--- a/crates/adapters/src/peers/wire_update.rs
+++ b/crates/adapters/src/peers/wire_update.rs
@@ -2,13 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use steer::{KindUpdate, ObjectBatch, RawObject, UpdateQuery, UpdateReply};
+use steer::{KindUpdate, LargeObject, ObjectBatch, PartQuery, RawObject, UpdateQuery, UpdateReply};
 
 /// JSON-RPC method that queries store updates.
 pub(super) const QUERY_UPDATES: &str = "news";
+/// JSON-RPC method that returns a part of the text of a large object.
+pub(super) const FETCH_PART: &str = "part";
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireUpdateQuery {
+    /// Whether the sender requests the texts of large objects in parts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    p: bool,
     /// Latest revision known to the sender, by kind.
     r: BTreeMap<Arc<str>, u64>,
     /// Longest wait in milliseconds.
@@ -22,6 +27,9 @@
     /// Whether `o` holds all objects of the kind rather than only changes.
     #[serde(default, skip_serializing_if = "is_false")]
     f: bool,
+    /// Large objects as tuples of name, length and digest of the text.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    l: Vec<(Arc<str>, usize, u64)>,
     /// Objects as tuples of name, text and whether it was deleted.
     o: Vec<(Arc<str>, Arc<str>, bool)>,
     /// Revision of the store after these changes.
@@ -41,20 +49,27 @@
 
 impl From<&UpdateQuery> for WireUpdateQuery {
     fn from(query: &UpdateQuery) -> Self {
-        Self { r: query.revisions.clone(), w: millis(query.wait) }
+        Self { p: query.parts, r: query.revisions.clone(), w: millis(query.wait) }
     }
 }
 
 impl From<WireUpdateQuery> for UpdateQuery {
     fn from(wire: WireUpdateQuery) -> Self {
-        Self { revisions: wire.r, wait: Duration::from_millis(wire.w) }
+        Self { parts: wire.p, revisions: wire.r, wait: Duration::from_millis(wire.w) }
     }
 }
 
 impl From<KindUpdate> for WireUpdate {
     fn from(kind: KindUpdate) -> Self {
         let objects = kind.batch.objects.into_iter().map(|o| (o.name, o.text, o.deleted));
-        Self { a: millis(kind.age), f: kind.full, o: objects.collect(), r: kind.batch.revision }
+        let large = kind.large.into_iter().map(|large| (large.name, large.size, large.digest));
+        Self {
+            a: millis(kind.age),
+            f: kind.full,
+            l: large.collect(),
+            o: objects.collect(),
+            r: kind.batch.revision,
+        }
     }
 }
 
@@ -63,7 +78,37 @@
         let objects =
             wire.o.into_iter().map(|(name, text, deleted)| RawObject { deleted, name, text });
         let batch = ObjectBatch::new(objects.collect(), wire.r);
-        Self { age: Duration::from_millis(wire.a), full: wire.f, batch }
+        let large = wire.l.into_iter();
+        let large = large.map(|(name, size, digest)| LargeObject { digest, name, size }).collect();
+        Self { age: Duration::from_millis(wire.a), full: wire.f, batch, large }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePartQuery {
+    /// Digest of the whole text.
+    d: u64,
+    /// Kind of the object.
+    k: Arc<str>,
+    /// Name of the object.
+    n: Arc<str>,
+    /// Number of bytes before the part.
+    o: usize,
+    /// Length of the whole text in bytes.
+    s: usize,
+}
+
+impl From<&PartQuery> for WirePartQuery {
+    fn from(query: &PartQuery) -> Self {
+        let LargeObject { digest, name, size } = query.object.clone();
+        Self { d: digest, k: Arc::clone(&query.kind), n: name, o: query.offset, s: size }
+    }
+}
+
+impl From<WirePartQuery> for PartQuery {
+    fn from(wire: WirePartQuery) -> Self {
+        let object = LargeObject { digest: wire.d, name: wire.n, size: wire.s };
+        Self { kind: wire.k, object, offset: wire.o }
     }
 }
 
--- a/crates/adapters/tests/update_contract.rs
+++ b/crates/adapters/tests/update_contract.rs
@@ -9,9 +9,9 @@
     collections::BTreeMap, fmt::Write, net::SocketAddr, net::TcpListener, sync::Arc, time::Duration,
 };
 use steer::{
-    Body, LoadError, LoadReport, NoMeter, NoTracer, ObjectBatch, ObjectCache, PlacementLimits,
-    RawObject, Router, RouterParts, RouterPorts, SendError, Targets, UpdatePeers, UpdateQuery,
-    UpdateReply, Vm, VmRecord,
+    Body, LargeObject, LoadError, LoadReport, NoMeter, NoTracer, ObjectBatch, ObjectCache,
+    PartQuery, PeerError, PlacementLimits, RawObject, Router, RouterParts, RouterPorts, SendError,
+    Targets, UpdatePeers, UpdateQuery, UpdateReply, Vm, VmRecord,
 };
 use tokio::time::{Instant, sleep};
 
@@ -68,7 +68,7 @@
 
 fn query(revisions: &[(&str, u64)], ms: u64) -> UpdateQuery {
     let revisions = revisions.iter().map(|(kind, revision)| ((*kind).into(), *revision));
-    UpdateQuery { revisions: revisions.collect(), wait: Duration::from_millis(ms) }
+    UpdateQuery { parts: false, revisions: revisions.collect(), wait: Duration::from_millis(ms) }
 }
 
 fn describe(reply: &UpdateReply) -> String {
@@ -126,3 +126,31 @@
     copy.apply_reply(&sent, peers.poll_updates(address, &sent).await.unwrap());
     assert_eq!(copy.all("targets"), cache.all("targets"));
 }
+
+#[tokio::test]
+async fn large_objects_follow_in_parts() {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let cache = ObjectCache::new();
+    let _server = serve_fleet(router(address), Arc::clone(&cache), address).await.unwrap();
+    let peers = RpcPeers::new(ConnectionPool::new());
+    let (now, text) = (Instant::now(), "{\"é\":\"\\n\"} ".repeat(20_000));
+    let large = RawObject { deleted: false, name: "main".into(), text: text.as_str().into() };
+    let objects = vec![object("a", false), large];
+    cache.replace("routes", ObjectBatch::new(objects, 4), MAX_AGE, now);
+    let query = UpdateQuery { parts: true, ..query(&[("routes", 3)], 60_000) };
+    let reply = peers.poll_updates(address, &query).await.unwrap();
+    let update = &reply["routes"];
+    assert_eq!(update.batch.objects, [object("a", false)]);
+    let [offer] = &update.large[..] else { panic!("{update:?}") };
+    let mut received = String::new();
+    while received.len() < offer.size {
+        let (object, offset) = (offer.clone(), received.len());
+        let part = PartQuery { kind: "routes".into(), object, offset };
+        received += &peers.fetch_part(address, &part).await.unwrap();
+    }
+    assert!(received == text);
+    let object = LargeObject { digest: offer.digest ^ 1, ..offer.clone() };
+    let missing = PartQuery { kind: "routes".into(), object, offset: 0 };
+    let refusal = peers.fetch_part(address, &missing).await.unwrap_err();
+    assert_eq!(refusal, PeerError::Refused("no such version".to_owned()));
+}
--- a/crates/steer/src/flows/poll_delegates.rs
+++ b/crates/steer/src/flows/poll_delegates.rs
@@ -1,6 +1,9 @@
 //! Polls the delegates of this VM's region for changes in the store.
 
-use crate::{ObjectCache, ObjectHash, PeerError, Router, UpdatePeers, UpdateQuery, UpdateReply};
+use crate::{
+    ObjectCache, ObjectHash, ObjectTransfers, PeerError, Router, UpdatePeers, UpdateQuery,
+    UpdateReply,
+};
 use slog::info;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{Instant, error::Elapsed, sleep, timeout};
@@ -9,18 +12,25 @@
 const POLL_WAIT: Duration = Duration::from_millis(500);
 /// Additional time for the reply to arrive: a few round trips inside a region.
 const REPLY_GRACE: Duration = Duration::from_millis(300);
+/// Timeout for a part of a large object. At this pace an object of the store's maximum size takes
+/// longer than a change may, but the transfer goes on.
+const PART_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause while there is no delegate to poll.
 const IDLE_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which a delegate that failed is not polled again.
 const FAILURE_PAUSE: Duration = Duration::from_secs(3);
 
 /// Polls delegates for the life of the process, except while this VM reads the store itself.
+///
+/// Large objects follow in parts, with a poll before each part, so that a slow transfer delays no
+/// other news.
 pub async fn poll_delegates(
     router: Arc<Router>,
     cache: Arc<ObjectCache>,
     peers: Arc<dyn UpdatePeers>,
 ) {
     let mut failed: BTreeMap<SocketAddr, Instant> = BTreeMap::new();
+    let mut transfers = ObjectTransfers::default();
     loop {
         failed.retain(|_, at| at.elapsed() < FAILURE_PAUSE);
         let revisions = cache.revisions();
@@ -29,20 +39,57 @@
             sleep(IDLE_PAUSE).await;
             continue;
         };
-        let query = UpdateQuery { revisions, wait: POLL_WAIT };
-        let answer = timeout(POLL_WAIT + REPLY_GRACE, peers.poll_updates(delegate, &query)).await;
-        match check_reply(answer, &query) {
-            Ok(reply) => cache.apply_reply(&query, reply),
-            Err(reason) => {
-                router.ports().meter.count("relay.failed", 1);
-                info!(router.log(), "relay: no news from a delegate"; "peer" => %delegate,
-                    "reason" => reason);
-                failed.insert(delegate, Instant::now());
+        let wait = if transfers.is_empty() { POLL_WAIT } else { Duration::ZERO };
+        let query = UpdateQuery { parts: true, revisions, wait };
+        let answer = timeout(wait + REPLY_GRACE, peers.poll_updates(delegate, &query)).await;
+        let result = match check_reply(answer, &query) {
+            Ok(reply) => {
+                cache.apply_reply(&query, transfers.accept(&query, reply));
+                receive_part(&router, &cache, &*peers, delegate, &mut transfers).await
             }
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = result {
+            router.ports().meter.count("relay.failed", 1);
+            info!(router.log(), "relay: no news from a delegate"; "peer" => %delegate,
+                "reason" => reason);
+            failed.insert(delegate, Instant::now());
         }
     }
 }
 
+/// Receives the next part of a large object, if one is pending.
+async fn receive_part(
+    router: &Router,
+    cache: &ObjectCache,
+    peers: &dyn UpdatePeers,
+    delegate: SocketAddr,
+    transfers: &mut ObjectTransfers,
+) -> Result<(), String> {
+    let Some(query) = transfers.next_part() else { return Ok(()) };
+    let at = || format!("byte {} of {} of {}", query.offset, query.object.size, query.object.name);
+    let part = match timeout(PART_TIMEOUT, peers.fetch_part(delegate, &query)).await {
+        Ok(Ok(part)) => part,
+        Ok(Err(error)) => {
+            if matches!(error, PeerError::Refused(_)) {
+                transfers.discard(&query.kind);
+            }
+            return Err(format!("{error}, at {}", at()));
+        }
+        Err(elapsed) => return Err(format!("{elapsed}, at {}", at())),
+    };
+    let completed = transfers.add_part(&query, &part).map_err(|e| format!("{e}, at {}", at()))?;
+    cache.record_part(&query.kind);
+    router.ports().meter.count("relay.parts", 1);
+    let Some(transfer) = completed else { return Ok(()) };
+    info!(router.log(), "relay: large objects received"; "peer" => %delegate,
+        "kind" => &*transfer.kind, "bytes" => transfer.bytes,
+        "revision" => transfer.update.batch.revision,
+        "after_ms" => u64::try_from(transfer.time.as_millis()).unwrap_or(u64::MAX));
+    cache.apply_reply(&transfer.query, [(transfer.kind, transfer.update)].into());
+    Ok(())
+}
+
 /// Returns the delegate to poll, chosen so that a region's VMs spread over its delegates; `None` if
 /// there is none or this VM reads the store itself.
 fn choose_delegate(router: &Router, failed: &BTreeMap<SocketAddr, Instant>) -> Option<SocketAddr> {
--- a/crates/steer/src/ports/mod.rs
+++ b/crates/steer/src/ports/mod.rs
@@ -22,7 +22,8 @@
     clock::{Clock, SystemClock},
     meter::{Meter, NoMeter},
     object_source::{
-        KindUpdate, ObjectBatch, ObjectSource, RawObject, UpdatePeers, UpdateQuery, UpdateReply,
+        KindUpdate, LargeObject, ObjectBatch, ObjectSource, PartQuery, RawObject, UpdatePeers,
+        UpdateQuery, UpdateReply,
     },
     peers::{
         Cursor, Exchange, Heartbeat, PeerError, PeerMessage, PeerReply, Peers, PoolRoom,
--- a/crates/steer/src/ports/object_source.rs
+++ b/crates/steer/src/ports/object_source.rs
@@ -3,6 +3,7 @@
 use super::{PeerError, RegistryError};
 use async_trait::async_trait;
 use std::{collections::BTreeMap, fmt::Debug, net::SocketAddr, sync::Arc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// An undecoded object of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -65,6 +66,8 @@
 /// Request to a peer for the changes of each kind after a revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct UpdateQuery {
+    /// Whether the sender requests the texts of large objects in parts.
+    pub parts: bool,
     /// Revision that the sender has, by kind.
     pub revisions: BTreeMap<Arc<str>, u64>,
     /// Maximum wait for changes.
@@ -81,6 +84,50 @@
     pub full: bool,
     /// Objects or changes.
     pub batch: ObjectBatch,
+    /// Changed objects that the batch lacks, because their texts are requested in parts.
+    pub large: Vec<LargeObject>,
+}
+
+/// A version of an object whose text is requested in parts.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct LargeObject {
+    /// Hash of the text.
+    pub digest: u64,
+    /// Name of the object.
+    pub name: Arc<str>,
+    /// Length of the text in bytes.
+    pub size: usize,
+}
+
+impl LargeObject {
+    /// Maximum length in bytes of a text that is requested from peers; the store's objects are
+    /// smaller.
+    pub const MAX_SIZE: usize = 10 << 20;
+    /// Length in bytes from which a text is requested in parts.
+    pub const MIN_SIZE: usize = 64 << 10;
+    /// Maximum length of a part in bytes. A part crosses a link of 10 Mbit/s in 50 ms, so it delays
+    /// other messages on its connection little.
+    pub const PART_SIZE: usize = 64 << 10;
+
+    /// Describes the text of an object.
+    ///
+    /// ```
+    /// assert_eq!(steer::LargeObject::new("main".into(), "{}").size, 2);
+    /// ```
+    pub fn new(name: Arc<str>, text: &str) -> Self {
+        Self { digest: xxh3_64(text.as_bytes()), name, size: text.len() }
+    }
+}
+
+/// Request to a peer for a part of the text of an object.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartQuery {
+    /// Kind of the object.
+    pub kind: Arc<str>,
+    /// Version of the object.
+    pub object: LargeObject,
+    /// Number of bytes before the part.
+    pub offset: usize,
 }
 
 /// Reply of a peer by kind; kinds that the peer has not read recently are missing.
@@ -99,4 +146,11 @@
         peer: SocketAddr,
         query: &UpdateQuery,
     ) -> Result<UpdateReply, PeerError>;
+
+    /// Requests a part of the text of a large object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer can't be reached or doesn't have this version of the object.
+    async fn fetch_part(&self, peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError>;
 }
--- a/crates/steer/src/relay/change_log.rs
+++ b/crates/steer/src/relay/change_log.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns the text of an object.
+    pub fn text(&self, name: &str) -> Option<&Arc<str>> {
+        self.objects.get(name)
+    }
+
     /// Returns all objects.
     pub fn all(&self) -> ObjectBatch {
         let objects = self.objects.iter().map(|(name, text)| RawObject {
@@ -139,7 +144,7 @@
             Some(batch) => (false, batch),
             None => (true, self.all()),
         };
-        KindUpdate { age: now.duration_since(self.read_at), full, batch }
+        KindUpdate { age: now.duration_since(self.read_at), full, batch, large: Vec::new() }
     }
 
     /// Returns the age and source of the objects.
--- a/crates/steer/src/relay/object_cache.rs
+++ b/crates/steer/src/relay/object_cache.rs
@@ -1,7 +1,7 @@
 //! A VM's cache of the store's objects, read by its own flows and by its peers.
 
-use super::{ChangeLog, Freshness};
-use crate::{KindUpdate, ObjectBatch, UpdateQuery, UpdateReply};
+use super::{ChangeLog, Freshness, OfferedTexts};
+use crate::{KindUpdate, LargeObject, ObjectBatch, PartQuery, UpdateQuery, UpdateReply};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
@@ -17,9 +17,16 @@
 pub struct ObjectCache {
     changed: watch::Sender<()>,
     logs: Mutex<BTreeMap<Arc<str>, ChangeLog>>,
+    offered: Mutex<OfferedTexts>,
+    /// Until when a kind counts as up to date because large objects of it are arriving.
+    receiving: Mutex<BTreeMap<Arc<str>, Instant>>,
 }
 
 impl ObjectCache {
+    /// Time after a part of a large object within which the next one is expected. It covers the
+    /// timeout of a request to one delegate and the next part from another.
+    pub const PART_GRACE: Duration = Duration::from_millis(1_500);
+
     /// Creates an empty cache.
     ///
     /// ```
@@ -56,7 +63,7 @@
     /// Applies a peer's reply to a query.
     pub fn apply_reply(&self, query: &UpdateQuery, reply: UpdateReply) {
         let now = Instant::now();
-        for (kind, KindUpdate { age, full, batch }) in reply {
+        for (kind, KindUpdate { age, full, batch, .. }) in reply {
             let read_at = now.checked_sub(age).unwrap_or(now);
             let Some(since) = query.revisions.get(&kind) else { continue };
             let batch = batch.relayed();
@@ -106,19 +113,60 @@
         loop {
             let now = Instant::now();
             let fresh_until = {
+                let receiving = self.receiving_until(kind);
                 let logs = self.lock();
-                let log = logs.get(kind).filter(|log| log.fresh_until() > now)?;
+                let log = logs.get(kind)?;
+                let fresh_until =
+                    receiving.map_or(log.fresh_until(), |at| at.max(log.fresh_until()));
+                if fresh_until <= now {
+                    return None;
+                }
                 match log.since(since) {
                     Some(batch) if batch.objects.is_empty() && now < until => {}
                     found => return Some(found.map(ObjectBatch::relayed)),
                 }
-                log.fresh_until()
+                fresh_until
             };
             // The channel can't be closed, as `self` holds the sender.
             let _ = timeout_at(until.min(fresh_until), changed.changed()).await;
         }
     }
 
+    /// Records that a part of a large object of a kind has arrived from a peer. While parts arrive,
+    /// the kind isn't read from the store: that transfer would compete for the same link.
+    pub fn record_part(&self, kind: &Arc<str>) {
+        let mut receiving = self.receiving.lock().expect("no holder of the times' lock panics");
+        receiving.insert(Arc::clone(kind), Instant::now() + Self::PART_GRACE);
+    }
+
+    fn receiving_until(&self, kind: &str) -> Option<Instant> {
+        self.receiving.lock().expect("no holder of the times' lock panics").get(kind).copied()
+    }
+
+    /// Returns a part of a text that was offered to a peer, or of the current version of an object;
+    /// `None` if this VM doesn't have the version.
+    pub fn part(&self, query: &PartQuery) -> Option<String> {
+        let offered = self.lock_offered().text(query.object.digest, Instant::now());
+        let text = match offered {
+            Some(text) => text,
+            None => {
+                let logs = self.lock();
+                let text = logs.get(&query.kind)?.text(&query.object.name)?;
+                if LargeObject::new(Arc::clone(&query.object.name), text) != query.object {
+                    return None;
+                }
+                Arc::clone(text)
+            }
+        };
+        let end = query.offset.checked_add(LargeObject::PART_SIZE)?.min(text.len());
+        let end = (query.offset.min(end)..=end).rev().find(|end| text.is_char_boundary(*end))?;
+        text.get(query.offset..end).map(str::to_owned)
+    }
+
+    fn lock_offered(&self) -> MutexGuard<'_, OfferedTexts> {
+        self.offered.lock().expect("no holder of the texts' lock panics")
+    }
+
     /// Waits until the objects of a kind are fresh.
     pub async fn wait_fresh(&self, kind: &str) {
         let mut changed = self.changed.subscribe();
@@ -135,7 +183,9 @@
         let mut changed = self.changed.subscribe();
         loop {
             let reply = self.update_for(query);
-            let has_changes = |update: &KindUpdate| update.full || !update.batch.objects.is_empty();
+            let has_changes = |update: &KindUpdate| {
+                update.full || !update.batch.objects.is_empty() || !update.large.is_empty()
+            };
             let stale = reply.len() < query.revisions.len();
             if stale || reply.values().any(has_changes) || Instant::now() >= until {
                 return reply;
@@ -150,7 +200,9 @@
         let logs = self.lock();
         let updates = query.revisions.iter().filter_map(|(kind, revision)| {
             let log = logs.get(kind).filter(|log| log.fresh_until() > now)?;
-            Some((Arc::clone(kind), log.update_for(*revision, now)))
+            let update = log.update_for(*revision, now);
+            let update = if query.parts { self.lock_offered().offer(update, now) } else { update };
+            Some((Arc::clone(kind), update))
         });
         updates.collect()
     }
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 use steer::{
-    ChangeLog, KindUpdate, ObjectBatch, ObjectCache, ObjectSource, PeerError, RawObject,
+    ChangeLog, KindUpdate, ObjectBatch, ObjectCache, ObjectSource, PartQuery, PeerError, RawObject,
     RegistryError, RelayLimits, RelayedSource, Router, UpdatePeers, UpdateQuery, UpdateReply,
     VmHello, poll_delegates,
 };
@@ -96,6 +96,10 @@
         sleep(Duration::from_millis(5)).await;
         Ok(self.cache.answer(query).await)
     }
+
+    async fn fetch_part(&self, _peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError> {
+        self.cache.part(query).ok_or_else(|| PeerError::Refused("no such version".to_owned()))
+    }
 }
 
 fn send_hellos(router: &Router, count: u8) {
@@ -382,8 +386,9 @@
         age: Duration::from_millis(ms),
         full: false,
         batch: ObjectBatch::new(vec![put("a", "6")], 6),
+        large: Vec::new(),
     };
-    let query = UpdateQuery { revisions: cache.revisions(), wait: Duration::ZERO };
+    let query = UpdateQuery { parts: false, revisions: cache.revisions(), wait: Duration::ZERO };
     cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(300))]));
     describe("relayed after 300 ms");
     cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(500))]));
--- a/crates/steer/tests/slow_links.rs
+++ b/crates/steer/tests/slow_links.rs
@@ -14,8 +14,9 @@
     time::Duration,
 };
 use steer::{
-    ObjectBatch, ObjectCache, ObjectSource, PeerError, RawObject, RegistryError, RelayLimits,
-    RelayedSource, Router, UpdatePeers, UpdateQuery, UpdateReply, VmHello, poll_delegates,
+    ObjectBatch, ObjectCache, ObjectSource, PartQuery, PeerError, RawObject, RegistryError,
+    RelayLimits, RelayedSource, Router, UpdatePeers, UpdateQuery, UpdateReply, VmHello,
+    poll_delegates,
 };
 use tokio::{
     sync::watch,
@@ -140,6 +141,12 @@
         self.link.carry(reply.values().map(|update| size(&update.batch) + 50).sum()).await;
         Ok(reply)
     }
+
+    async fn fetch_part(&self, _peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError> {
+        let part = self.cache.part(query);
+        self.link.carry(part.as_ref().map_or(0, String::len) + 100).await;
+        part.ok_or_else(|| PeerError::Refused("no such version".to_owned()))
+    }
 }
 
 /// Reads the store for the region's delegates, whose links are fast.
@@ -246,7 +253,6 @@
 }
 
 #[tokio::test(start_paused = true)]
-#[ignore = "a large object never fits the deadline of a poll: KNOWN-RED.txt, issue 22"]
 async fn a_large_configuration_arrives_over_a_slow_link() {
     let mut table = String::new();
     let rows = [
@@ -268,4 +274,5 @@
         .unwrap();
     }
     assert!(!table.contains("late"), "{table}");
+    insta::assert_snapshot!(table);
 }
