Keep the rate limits that targets name

A request that was placed before the limit began is withheld. If all targets of a service are limited, callers are refused at once with the time until the first one takes a request.

--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -7,10 +7,10 @@
     serve_request::{set_header, trace_of},
 };
 use crate::{
-    BeliefSource, Body, BodyFault, BodyLimits, CallerRequest, ErrorKind, ObjectHash, Outcome,
-    PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RepeatRule, ResponseDeadline,
-    Route, Router, SendPermit, ServiceName, SmallBodyError, TargetIdentity, TargetOutcome,
-    TargetReport, bound_body, buffer_small_body, hold_until_end,
+    BeliefSource, Body, BodyFault, BodyLimits, CallerRequest, ErrorKind, LimitNotice, ObjectHash,
+    Outcome, PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RepeatRule,
+    ResponseDeadline, Route, Router, SendPermit, ServiceName, SmallBodyError, TargetIdentity,
+    TargetOutcome, TargetReport, bound_body, buffer_small_body, hold_until_end,
 };
 use http::{Request, Response, header::CONTENT_LENGTH};
 use http_body::Body as _;
@@ -240,6 +240,7 @@
         let (cause, wait) = match reason {
             PlacementError::BackOff { wait, .. } => ("back_off", bounded(wait)),
             PlacementError::Full(wait) => ("full", bounded(wait)),
+            PlacementError::Limited { wait, .. } => ("limited", *wait),
             PlacementError::NoTarget => ("none", MAX_RETRY_AFTER),
             PlacementError::Paused { wait, .. } => ("paused", *wait),
         };
@@ -372,6 +373,7 @@
         if report.leaving && guard.record_leaving(report.outcome) {
             self.log_availability("target leaves", "leaving", guard, None);
         }
+        self.record_limit(guard, report);
         let Some(pause) = report.pause else { return };
         if let Some(time) = guard.record_pause(pause) {
             let name = match pause {
@@ -382,6 +384,24 @@
         }
     }
 
+    fn record_limit(&self, guard: &PlacementGuard, report: &TargetReport) {
+        if report.limit == LimitNotice::Unclear {
+            self.router.ports().meter.count("placement.limit_unclear", 1);
+        }
+        if !guard.record_limit(report.limit, report.outcome) {
+            return;
+        }
+        match report.limit {
+            LimitNotice::PerSecond(rate) => {
+                let text = format!("target limits requests to {rate:.3} a second");
+                self.log_availability(&text, "limited", guard, None);
+            }
+            LimitNotice::Absent | LimitNotice::Unclear => {
+                self.log_availability("target ends its limit", "unlimited", guard, None);
+            }
+        }
+    }
+
     fn log_return(&self, guard: &PlacementGuard) {
         if let Some(pause) = guard.ended_pause() {
             let time = pause.since.elapsed();
--- a/crates/steer/src/placement/hold.rs
+++ b/crates/steer/src/placement/hold.rs
@@ -23,6 +23,9 @@
     /// The target leaves.
     #[display("leaving")]
     Leaving,
+    /// This VM's part of the rate that the target takes is used up.
+    #[display("limited")]
+    Limited,
     /// Another target has the address.
     #[display("misdirected")]
     Misdirected,
--- a/crates/steer/src/placement/hold_summary.rs
+++ b/crates/steer/src/placement/hold_summary.rs
@@ -29,6 +29,7 @@
         let wait = until.duration_since(now);
         match cause {
             _ if self.full => PlacementError::Full(wait.min(TargetTable::COLD_RETRY_DELAY)),
+            HoldCause::Limited => PlacementError::Limited { target, wait },
             HoldCause::Paused => PlacementError::Paused { target, wait },
             _ => PlacementError::BackOff { target, wait },
         }
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod placement_error;
 mod placement_guard;
 mod placement_query;
+mod requested_limit;
 mod requested_pause;
 mod retired_targets;
 mod send_check;
@@ -33,6 +34,7 @@
     placement_error::PlacementError,
     placement_guard::PlacementGuard,
     placement_query::PlacementQuery,
+    requested_limit::{LimitNotice, RequestedLimit},
     requested_pause::RequestedPause,
     send_check::SendCheck,
     send_window::SendWindow,
--- a/crates/steer/src/placement/placement_error.rs
+++ b/crates/steer/src/placement/placement_error.rs
@@ -22,6 +22,14 @@
     /// Every usable target has reached its limit on new work; capacity may be free after this time.
     #[display("every target of the service is full for {} ms more", _0.as_millis())]
     Full(Duration),
+    /// Every usable target waits, and the one that returns first limits the rate of its requests.
+    #[display("every target of the service limits its requests, {target} for {} ms more", wait.as_millis())]
+    Limited {
+        /// The target that takes the next request first.
+        target: TargetName,
+        /// Time until then.
+        wait: Duration,
+    },
     /// The service has no usable target.
     #[display("the service has no usable target")]
     NoTarget,
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -1,8 +1,8 @@
 //! Accounting of a request at its target.
 
 use super::{
-    Belief, LoadSample, PauseRequest, SendCheck, TargetOutcome, TargetRecord, TargetTable,
-    target_table::TargetKey,
+    Belief, LimitNotice, LoadSample, PauseRequest, SendCheck, TargetOutcome, TargetRecord,
+    TargetTable, target_table::TargetKey,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -41,7 +41,7 @@
 
     /// Returns the check whether the request may still be sent when a connection is open.
     pub fn send_check(&self) -> SendCheck {
-        SendCheck::new(Arc::clone(&self.table), self.key.clone())
+        SendCheck::new(Arc::clone(&self.table), self.key.clone(), self.started)
     }
 
     /// Returns the selected target.
@@ -82,10 +82,23 @@
         self.table.record_pause(&self.key, pause)
     }
 
+    /// Records what the response says about the rate of requests that its target takes. Returns
+    /// whether a limit begins or ends. Only a response to a request that the target ran ends one: a
+    /// refusal need not repeat it. A response of another target says nothing about this one.
+    pub fn record_limit(&self, limit: LimitNotice, outcome: TargetOutcome) -> bool {
+        let ignored = match outcome {
+            TargetOutcome::Misdirected => true,
+            TargetOutcome::NotRun => limit == LimitNotice::Absent,
+            TargetOutcome::Ran => false,
+        };
+        !ignored && self.table.record_limit(&self.key, limit)
+    }
+
     /// Records that the request was not sent: its target was lost, unless the request was withheld.
     /// Returns whether the target was lost.
     pub fn record_unsent(&self) -> bool {
         let lost = self.send_check().confirm().is_ok();
+        self.table.put_back_limit(&self.key, self.started);
         if lost {
             self.record_lost();
         }
--- a/crates/steer/src/placement/send_check.rs
+++ b/crates/steer/src/placement/send_check.rs
@@ -2,6 +2,7 @@
 
 use super::{HoldCause, TargetTable, target_table::TargetKey};
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Request extension that tells, once a connection to the target is open, whether the target may
 /// still get the request. News of the target may have arrived while the request waited.
@@ -21,12 +22,13 @@
 #[derive(Clone, Debug)]
 pub struct SendCheck {
     key: TargetKey,
+    placed: Instant,
     table: Arc<TargetTable>,
 }
 
 impl SendCheck {
-    pub(super) fn new(table: Arc<TargetTable>, key: TargetKey) -> Self {
-        Self { key, table }
+    pub(super) fn new(table: Arc<TargetTable>, key: TargetKey, placed: Instant) -> Self {
+        Self { key, placed, table }
     }
 
     /// Confirms that the target may get the request, which is already counted there.
@@ -35,6 +37,6 @@
     ///
     /// Returns the reason for which the request must not be sent.
     pub fn confirm(&self) -> Result<(), HoldCause> {
-        self.table.confirm(&self.key)
+        self.table.confirm(&self.key, self.placed)
     }
 }
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -1,8 +1,8 @@
 //! What this VM believes about whether a target may get requests.
 
 use super::{
-    Accepting, Admission, Belief, BeliefSource, Departing, Hold, HoldCause, PauseRequest,
-    RequestedPause, TargetHealth, TargetLife,
+    Accepting, Admission, Belief, BeliefSource, Departing, Hold, HoldCause, LimitNotice,
+    PauseRequest, RequestedLimit, RequestedPause, TargetHealth, TargetLife,
 };
 use std::time::Duration;
 use tokio::time::Instant;
@@ -36,6 +36,7 @@
     cold: Option<ColdLimit>,
     health: TargetHealth,
     life: AnyLife,
+    limit: Option<RequestedLimit>,
     /// Since when a different target responds at the address.
     misdirected: Option<Belief>,
     /// Since when the registration says that the target leaves.
@@ -48,6 +49,7 @@
             cold: None,
             health: TargetHealth::default(),
             life: AnyLife::Accepting(TargetLife::start()),
+            limit: None,
             misdirected: None,
             withdrawn: None,
         }
@@ -123,11 +125,71 @@
     /// end.
     pub(super) fn outlasts_registration(&self, now: Instant) -> bool {
         match &self.life {
-            AnyLife::Accepting(life) => life.is_paused(now),
+            AnyLife::Accepting(life) => life.is_paused(now) || self.limit.is_some(),
             AnyLife::Departing(_) => true,
         }
     }
 
+    /// Checks the limit that the target asked for, given this VM's part of it from 0 to 1.
+    ///
+    /// # Errors
+    ///
+    /// Returns when this VM may send the next request.
+    pub fn check_limit(&self, now: Instant, share: f64) -> Result<(), Hold> {
+        self.limit.and_then(|limit| limit.hold(now, share)).map_or(Ok(()), Err)
+    }
+
+    /// Returns the limit that the target asked for.
+    pub fn limit(&self) -> Option<&RequestedLimit> {
+        self.limit.as_ref()
+    }
+
+    /// Counts an admitted request against the limit.
+    pub fn take_limit(&mut self, now: Instant, share: f64) {
+        if let Some(limit) = &mut self.limit {
+            limit.take(now, share);
+        }
+    }
+
+    /// Takes back the count of a request that was placed at `placed` and not sent.
+    pub fn put_back_limit(&mut self, placed: Instant) {
+        if let Some(limit) = self.limit.as_mut().filter(|limit| limit.belief().since <= placed) {
+            limit.put_back();
+        }
+    }
+
+    /// Records what a response says about a limit; `phase` from 0 to 1 differs between the VMs, and
+    /// `share` is this VM's part. Returns whether a limit begins or ends.
+    ///
+    /// ```
+    /// use steer::{LimitNotice, TargetAccess};
+    /// let now = tokio::time::Instant::now();
+    /// let mut access = TargetAccess::default();
+    /// assert!(access.record_limit(now, LimitNotice::PerSecond(4.0), 1.0, 0.5));
+    /// assert!(access.check_limit(now, 0.5).is_err());
+    /// assert!(access.record_limit(now, LimitNotice::Absent, 1.0, 0.5));
+    /// assert!(access.check_limit(now, 0.5).is_ok());
+    /// ```
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        notice: LimitNotice,
+        phase: f64,
+        share: f64,
+    ) -> bool {
+        match (notice, &mut self.limit) {
+            (LimitNotice::PerSecond(rate), Some(limit)) => limit.set_rate(now, share, rate),
+            (LimitNotice::PerSecond(rate), limit) => {
+                let belief = Belief::new(BeliefSource::Response, now);
+                *limit = Some(RequestedLimit::new(belief, rate, phase));
+                return true;
+            }
+            (LimitNotice::Absent, limit) => return limit.take().is_some(),
+            (LimitNotice::Unclear, _) => {}
+        }
+        false
+    }
+
     /// Applies a registration, which shows that the target has the address.
     pub fn record_registration(&mut self, now: Instant, leaving: bool) {
         self.misdirected = None;
--- a/crates/steer/src/placement/target_report.rs
+++ b/crates/steer/src/placement/target_report.rs
@@ -1,5 +1,6 @@
 //! Metadata that accompanies a target's response.
 
+use super::LimitNotice;
 use crate::TargetName;
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
 pub struct TargetReport {
     /// Whether the target leaves and wants no new requests.
     pub leaving: bool,
+    /// What the target says about the rate of requests that it takes.
+    pub limit: LimitNotice,
     /// Load of the target, if it was reported.
     pub load: Option<LoadSample>,
     /// Outcome of the request.
@@ -57,7 +60,7 @@
 impl TargetReport {
     /// Creates a report without a load, of a target that serves.
     pub fn new(outcome: TargetOutcome) -> Self {
-        Self { leaving: false, load: None, outcome, pause: None }
+        Self { leaving: false, limit: LimitNotice::Absent, load: None, outcome, pause: None }
     }
 }
 
--- a/crates/steer/src/placement/target_state.rs
+++ b/crates/steer/src/placement/target_state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Admission, Belief, BeliefSource, CachedObjects, Distance, Hold, HoldCause, PlacementQuery,
-    SendWindow, TargetAccess, TargetLoad, TargetRecord,
+    RequestedLimit, SendWindow, TargetAccess, TargetLoad, TargetRecord,
 };
 use crate::{AvailabilityZoneName, RegionName};
 use std::collections::BTreeMap;
@@ -44,19 +44,30 @@
         &self,
         now: Instant,
         evacuated: &BTreeMap<AvailabilityZoneName, Instant>,
+        share: f64,
         quota: impl FnOnce() -> u32,
     ) -> Result<Admission, Hold> {
         self.check_zone(evacuated)?;
-        self.access.admit(now, self.load.own(), || self.sends.has_room(now, quota()))
+        let admission =
+            self.access.admit(now, self.load.own(), || self.sends.has_room(now, quota()))?;
+        self.access.check_limit(now, share)?;
+        Ok(admission)
     }
 
-    /// Confirms that a request that is already counted may still be sent.
+    /// Confirms that a request that was counted at `placed` may still be sent.
     pub(super) fn confirm(
         &self,
         now: Instant,
+        placed: Instant,
         evacuated: &BTreeMap<AvailabilityZoneName, Instant>,
     ) -> Result<Admission, Hold> {
         self.check_zone(evacuated)?;
+        // The request has no token of a limit that began after it was placed.
+        if let Some(belief) = self.access.limit().map(RequestedLimit::belief)
+            && placed < belief.since
+        {
+            return Err(Hold { belief, cause: HoldCause::Limited, until: None });
+        }
         self.access.confirm(now, self.load.own().saturating_sub(1))
     }
 
@@ -67,7 +78,8 @@
     }
 
     /// Counts an admitted request.
-    pub(super) fn begin(&mut self, _admission: Admission, now: Instant) {
+    pub(super) fn begin(&mut self, _admission: Admission, now: Instant, share: f64) {
+        self.access.take_limit(now, share);
         self.load.begin();
         self.sends.record(now);
     }
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -1,10 +1,10 @@
 //! State of all targets in the fleet, and selection among them.
 
 use super::{
-    Admission, BeliefSource, Distance, HoldCause, LoadSample, ObjectHash, PauseRequest,
-    PlacementError, PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess, TargetRecord,
-    WorkTime, hold_summary::HoldSummary, retired_targets::RetiredTargets, send_window::send_quota,
-    target_state::TargetState,
+    Admission, BeliefSource, Distance, HoldCause, LimitNotice, LoadSample, ObjectHash,
+    PauseRequest, PlacementError, PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess,
+    TargetRecord, WorkTime, hold_summary::HoldSummary, retired_targets::RetiredTargets,
+    send_window::send_quota, target_state::TargetState,
 };
 use crate::{
     AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName, VmName,
@@ -67,6 +67,11 @@
         (state.record.born == key.born).then_some(state)
     }
 
+    /// Returns this VM's part of a limit that holds for the fleet; zero until the fleet is known.
+    fn share(&self) -> f64 {
+        if self.vms.is_empty() { 0.0 } else { 1.0 / self.vms.len() as f64 }
+    }
+
     /// Changes what is believed of an incarnation, also of one that isn't registered at present.
     fn with_access<T>(
         &mut self,
@@ -253,6 +258,7 @@
         let mut inner = self.lock();
         let inner = &mut *inner;
         let burst = self.cold_burst(inner, &query.service);
+        let share = inner.share();
         let (name, vms) = (&self.name, &inner.vms);
         let work = inner.work.get(&query.service).copied().unwrap_or_default().get();
         let targets = inner.targets.get_mut(&query.service).ok_or(PlacementError::NoTarget)?;
@@ -271,7 +277,7 @@
             .filter(|state| state.matches(query))
             .filter_map(|state| {
                 let quota = || send_quota(burst, name, vms, &state.record.name);
-                match state.admit(now, &inner.evacuated, quota) {
+                match state.admit(now, &inner.evacuated, share, quota) {
                     Ok(admission) => {
                         Some((order.rank(state.record.name.as_str()), admission, state))
                     }
@@ -323,7 +329,7 @@
         }
         let oversubscription = state.oversubscription(now);
         let returned = state.access.take_return(now);
-        state.begin(admission, now);
+        state.begin(admission, now, share);
         inner.shift.record(&state.region, now);
         let key = TargetKey {
             born: state.record.born,
@@ -335,22 +341,22 @@
             .returned(returned))
     }
 
-    /// Returns the time until the first target returns, if all targets that a request may use pause
-    /// or back off.
+    /// Returns the time until the first target returns, if all targets that a request may use pause,
+    /// back off, or limit their requests.
     pub fn first_return(&self, query: &PlacementQuery) -> Option<Duration> {
         let now = Instant::now();
         let inner = self.lock();
         let mut holds = HoldSummary::default();
         for state in inner.targets.get(&query.service)?.values().filter(|s| s.matches(query)) {
-            match state.admit(now, &inner.evacuated, || u32::MAX) {
+            match state.admit(now, &inner.evacuated, inner.share(), || u32::MAX) {
                 Ok(_) => return None,
                 Err(hold) => holds.add(&state.record.name, hold),
             }
         }
         match holds.into_error(now) {
-            PlacementError::BackOff { wait, .. } | PlacementError::Paused { wait, .. } => {
-                Some(wait)
-            }
+            PlacementError::BackOff { wait, .. }
+            | PlacementError::Limited { wait, .. }
+            | PlacementError::Paused { wait, .. } => Some(wait),
             PlacementError::Full(_) | PlacementError::NoTarget => None,
         }
     }
@@ -368,12 +374,12 @@
     }
 
     /// Confirms that a placed request may still be sent.
-    pub(super) fn confirm(&self, key: &TargetKey) -> Result<(), HoldCause> {
+    pub(super) fn confirm(&self, key: &TargetKey, placed: Instant) -> Result<(), HoldCause> {
         let inner = self.lock();
         let state = inner.targets.get(&key.service).and_then(|targets| targets.get(&key.name));
         let state = state.filter(|state| state.record.born == key.born);
         let state = state.ok_or(HoldCause::Unregistered)?;
-        state.confirm(Instant::now(), &inner.evacuated).map(drop).map_err(|hold| hold.cause)
+        state.confirm(Instant::now(), placed, &inner.evacuated).map(drop).map_err(|hold| hold.cause)
     }
 
     pub(super) fn release(&self, key: &TargetKey) {
@@ -409,6 +415,18 @@
         self.lock().with_access(key, |access| access.record_leaving(Instant::now()))
     }
 
+    pub(super) fn record_limit(&self, key: &TargetKey, limit: LimitNotice) -> bool {
+        let order = ObjectHash::new("limit", self.name.as_str().as_bytes());
+        let phase = order.rank(key.name.as_str());
+        let mut inner = self.lock();
+        let share = inner.share();
+        inner.with_access(key, |access| access.record_limit(Instant::now(), limit, phase, share))
+    }
+
+    pub(super) fn put_back_limit(&self, key: &TargetKey, placed: Instant) {
+        self.with_state(key, |state| state.access.put_back_limit(placed));
+    }
+
     /// Records that the target which has an address leaves.
     pub(super) fn record_address_leaving(&self, address: SocketAddr) {
         let now = Instant::now();
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -44,9 +44,11 @@
         Ok(guard) => guard.target().name.to_string(),
         Err(PlacementError::Full(wait)) => format!("full, room in {} ms", wait.as_millis()),
         Err(PlacementError::NoTarget) => "no target".to_owned(),
-        Err(error @ (PlacementError::BackOff { .. } | PlacementError::Paused { .. })) => {
-            error.to_string()
-        }
+        Err(
+            error @ (PlacementError::BackOff { .. }
+            | PlacementError::Limited { .. }
+            | PlacementError::Paused { .. }),
+        ) => error.to_string(),
     }
 }
 
