Tell the limits that targets name to the other VMs

Callers saw nothing; a target whose limit fell could get a request from each VM that had last heard of the higher one, and in a large fleet each VM learned of the end of a limit by itself, up to twenty seconds later. Cause: each VM knew only what its own answers said. Change: hello messages carry limits that began, changed by a tenth or ended in the last five seconds; a later answer to the VM itself goes first. The state of a table moves to a file of its own.

--- a/crates/adapters/src/peers/fleet_server.rs
+++ b/crates/adapters/src/peers/fleet_server.rs
@@ -65,8 +65,8 @@
 fn handle_hello(params: &Params<'_>, router: &Router) -> Result<WireHello, ErrorObjectOwned> {
     let hello = VmHello::from(params.one::<WireHello>()?);
     let region = hello.vm.region.clone();
-    router.fleet().record_hello(hello);
-    Ok(WireHello::from(&router.fleet().hello_to(&region)))
+    router.record_hello(hello);
+    Ok(WireHello::from(&router.hello_to(&region)))
 }
 
 async fn handle_updates(
--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -132,7 +132,7 @@
                 live = near().map(|vm| vm.name.clone()).collect();
             }
         }
-        VmHello { leaving, live, store_lost, vm: self.vm.clone() }
+        VmHello { leaving, limits: Vec::new(), live, store_lost, vm: self.vm.clone() }
     }
 
     /// Returns the hello for the VM at an address.
--- a/crates/steer/src/flows/send_hellos.rs
+++ b/crates/steer/src/flows/send_hellos.rs
@@ -55,7 +55,7 @@
 ) {
     let mut replying = false;
     loop {
-        let hello = router.fleet().hello_at(peer);
+        let hello = router.hello_at(peer);
         let reply = timeout(REPLY_TIMEOUT, peers.send_hello(peer, &hello)).await;
         let replied = record_reply(&router, peer, reply.ok());
         if replied != replying {
@@ -79,7 +79,7 @@
 ) -> bool {
     match reply {
         Some(Ok(hello)) => {
-            router.fleet().record_hello(hello);
+            router.record_hello(hello);
             true
         }
         Some(Err(_)) => {
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -1,10 +1,13 @@
 //! Shared state of an entry VM that sends directly to targets.
 
 use super::{RequestLog, RouterParts, RouterPorts};
-use crate::{FleetView, RetryBudget, RouteTable, ServiceName, TargetTable, VmState};
+use crate::{
+    FleetView, RegionName, RetryBudget, RouteTable, ServiceName, TargetTable, VmHello, VmState,
+};
 use slog::{Logger, info};
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, RwLock},
 };
 use tokio::sync::watch;
@@ -54,6 +57,22 @@
         &self.fleet
     }
 
+    /// Returns the hello for a VM in a region, with the latest news of targets.
+    pub fn hello_to(&self, region: &RegionName) -> VmHello {
+        VmHello { limits: self.table.limit_news(), ..self.fleet.hello_to(region) }
+    }
+
+    /// Returns the hello for the VM at an address, with the latest news of targets.
+    pub fn hello_at(&self, peer: SocketAddr) -> VmHello {
+        VmHello { limits: self.table.limit_news(), ..self.fleet.hello_at(peer) }
+    }
+
+    /// Records a hello or a reply, and the news of targets in it.
+    pub fn record_hello(&self, hello: VmHello) {
+        self.table.apply_limit_news(&hello.limits);
+        self.fleet.record_hello(hello);
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &Logger {
         self.log.log()
--- a/crates/steer/src/placement/mod.rs
+++ b/crates/steer/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod distance;
 mod hold;
 mod hold_summary;
+mod limit_news;
 mod object_hash;
 mod placement_error;
 mod placement_guard;
@@ -23,6 +24,7 @@
 mod target_report;
 mod target_state;
 mod target_table;
+mod target_table_state;
 mod work_time;
 
 pub use self::{
@@ -30,6 +32,7 @@
     cached_objects::CachedObjects,
     distance::Distance,
     hold::{Hold, HoldCause},
+    limit_news::{LimitNews, LimitNewsLog},
     object_hash::ObjectHash,
     placement_error::PlacementError,
     placement_guard::PlacementGuard,
--- a/crates/steer/src/placement/placement_guard.rs
+++ b/crates/steer/src/placement/placement_guard.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Belief, LimitNotice, LoadSample, PauseRequest, SendCheck, TargetOutcome, TargetRecord,
-    TargetTable, target_table::TargetKey,
+    TargetTable, target_table_state::TargetKey,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
--- a/crates/steer/src/placement/requested_limit.rs
+++ b/crates/steer/src/placement/requested_limit.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RequestedLimit {
     belief: Belief,
+    /// When a response last named the limit.
+    confirmed: Instant,
     /// Part of the time between two requests by which this VM's requests are shifted against those of
     /// others.
     phase: f64,
@@ -49,7 +51,7 @@
 impl RequestedLimit {
     /// Lowest rate that is applied. Some requests must go on even to a target that wants none, as only
     /// its responses tell when the limit ends.
-    pub const MIN_RATE: f64 = 0.5;
+    pub const MIN_RATE: f64 = 0.2;
     /// Time of the fleet's rate that the buckets of all VMs hold together.
     const BURST_TIME: Duration = Duration::from_millis(1_500);
     /// Requests that the buckets of all VMs hold together besides, for targets with low limits.
@@ -63,7 +65,8 @@
     /// request of this VM, so that the VMs don't all send at once.
     pub fn new(belief: Belief, rate: f64, phase: f64) -> Self {
         let rate = rate.max(Self::MIN_RATE);
-        Self { belief, phase, rate, tokens: 1.0 - phase, updated: belief.since }
+        let since = belief.since;
+        Self { belief, confirmed: since, phase, rate, tokens: 1.0 - phase, updated: since }
     }
 
     /// Returns the requests a second for the fleet.
@@ -76,6 +79,16 @@
         self.belief
     }
 
+    /// Returns when a response last named the limit.
+    pub fn confirmed(&self) -> Instant {
+        self.confirmed
+    }
+
+    /// Records a response that names the limit.
+    pub fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+    }
+
     /// Changes the requests a second for the fleet; this VM's part is `share`.
     pub fn set_rate(&mut self, now: Instant, share: f64, rate: f64) {
         self.settle(now, share);
--- a/crates/steer/src/placement/send_check.rs
+++ b/crates/steer/src/placement/send_check.rs
@@ -1,6 +1,6 @@
 //! Check whether a placed request may still be sent.
 
-use super::{HoldCause, TargetTable, target_table::TargetKey};
+use super::{HoldCause, TargetTable, target_table_state::TargetKey};
 use std::sync::Arc;
 use tokio::time::Instant;
 
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -178,7 +178,10 @@
         share: f64,
     ) -> bool {
         match (notice, &mut self.limit) {
-            (LimitNotice::PerSecond(rate), Some(limit)) => limit.set_rate(now, share, rate),
+            (LimitNotice::PerSecond(rate), Some(limit)) => {
+                limit.confirm(now);
+                limit.set_rate(now, share, rate);
+            }
             (LimitNotice::PerSecond(rate), limit) => {
                 let belief = Belief::new(BeliefSource::Response, now);
                 *limit = Some(RequestedLimit::new(belief, rate, phase));
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -1,14 +1,15 @@
 //! State of all targets in the fleet, and selection among them.
 
 use super::{
-    Admission, BeliefSource, Distance, HoldCause, LimitNotice, LoadSample, ObjectHash,
-    PauseRequest, PlacementError, PlacementGuard, PlacementQuery, ShiftGuard, TargetAccess,
-    TargetRecord, WorkTime, hold_summary::HoldSummary, retired_targets::RetiredTargets,
-    send_window::send_quota, target_state::TargetState,
-};
-use crate::{
-    AvailabilityZoneName, RegionName, RouteTable, ServiceName, ServiceRules, TargetName, VmName,
+    Admission, BeliefSource, Distance, HoldCause, LimitNews, LimitNewsLog, LimitNotice, LoadSample,
+    ObjectHash, PauseRequest, PlacementError, PlacementGuard, PlacementQuery, RequestedLimit,
+    ShiftGuard, TargetAccess, TargetRecord,
+    hold_summary::HoldSummary,
+    send_window::send_quota,
+    target_state::TargetState,
+    target_table_state::{TargetKey, TargetTableState},
 };
+use crate::{AvailabilityZoneName, RegionName, RouteTable, ServiceName, TargetName, VmName};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -17,15 +18,6 @@
 };
 use tokio::time::Instant;
 
-/// Identifies one incarnation of a target, and the object requested from it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct TargetKey {
-    born: u64,
-    name: TargetName,
-    object: Option<ObjectHash>,
-    service: ServiceName,
-}
-
 /// Limits that the VMs enforce collectively.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementLimits {
@@ -44,59 +36,6 @@
     }
 }
 
-/// Everything that the lock of a `TargetTable` protects.
-#[derive(Debug)]
-struct TargetTableState {
-    /// Time of the last target loss or change of the evacuated zones.
-    disrupted: Option<Instant>,
-    /// Evacuated zones, with the time of the news.
-    evacuated: BTreeMap<AvailabilityZoneName, Instant>,
-    retired: RetiredTargets,
-    rules: BTreeMap<ServiceName, ServiceRules>,
-    shift: ShiftGuard,
-    targets: BTreeMap<ServiceName, BTreeMap<TargetName, TargetState>>,
-    /// Known VMs, including this one.
-    vms: BTreeSet<VmName>,
-    work: BTreeMap<ServiceName, WorkTime>,
-}
-
-impl TargetTableState {
-    /// Returns the state of a target if that incarnation is still known.
-    fn state(&mut self, key: &TargetKey) -> Option<&mut TargetState> {
-        let state = self.targets.get_mut(&key.service)?.get_mut(&key.name)?;
-        (state.record.born == key.born).then_some(state)
-    }
-
-    /// Returns this VM's part of a limit that holds for the fleet; zero until the fleet is known.
-    fn share(&self) -> f64 {
-        if self.vms.is_empty() { 0.0 } else { 1.0 / self.vms.len() as f64 }
-    }
-
-    /// Changes what is believed of an incarnation, also of one that isn't registered at present.
-    fn with_access<T>(
-        &mut self,
-        key: &TargetKey,
-        change: impl FnOnce(&mut TargetAccess) -> T,
-    ) -> T {
-        if let Some(state) = self.state(key) {
-            return change(&mut state.access);
-        }
-        let mut access = self.retired.take(&key.name, key.born).unwrap_or_default();
-        let result = change(&mut access);
-        self.retired.keep(&key.name, key.born, access);
-        result
-    }
-
-    /// Removes the registrations of a target.
-    fn remove(&mut self, name: &TargetName) {
-        for targets in self.targets.values_mut() {
-            if let Some(TargetState { access, record, .. }) = targets.remove(name) {
-                self.retired.keep(name, record.born, access);
-            }
-        }
-    }
-}
-
 /// The targets of all services, shared by all requests on this VM.
 ///
 /// ```
@@ -152,16 +91,8 @@
         zones: BTreeMap<AvailabilityZoneName, RegionName>,
         rules: PlacementLimits,
     ) -> Self {
-        let inner = TargetTableState {
-            disrupted: None,
-            evacuated: BTreeMap::new(),
-            retired: RetiredTargets::default(),
-            rules: BTreeMap::new(),
-            shift: ShiftGuard::new(rules.max_shift * Self::SHIFT_MARGIN),
-            targets: BTreeMap::new(),
-            vms: BTreeSet::new(),
-            work: BTreeMap::new(),
-        };
+        let shift = ShiftGuard::new(rules.max_shift * Self::SHIFT_MARGIN);
+        let inner = TargetTableState::new(shift);
         Self { here, inner: Mutex::new(inner), name, rules, zones }
     }
 
@@ -416,11 +347,60 @@
     }
 
     pub(super) fn record_limit(&self, key: &TargetKey, limit: LimitNotice) -> bool {
-        let order = ObjectHash::new("limit", self.name.as_str().as_bytes());
-        let phase = order.rank(key.name.as_str());
+        let (now, phase) = (Instant::now(), self.limit_phase(&key.name));
+        let mut inner = self.lock();
+        let share = inner.share();
+        let rate = |access: &TargetAccess| access.limit().map(RequestedLimit::rate);
+        let (before, after, changed) = inner.with_access(key, |access| {
+            let before = rate(access);
+            let changed = access.record_limit(now, limit, phase, share);
+            (before, rate(access), changed)
+        });
+        if LimitNewsLog::is_change(before, after) {
+            let (born, target) = (key.born, key.name.clone());
+            let news = LimitNews { age: Duration::ZERO, born, rate: after, target };
+            inner.limit_news.record(&news, now);
+        }
+        changed
+    }
+
+    /// Returns the part of the time between two requests to a limited target by which this VM's
+    /// requests are shifted against those of other VMs.
+    fn limit_phase(&self, target: &TargetName) -> f64 {
+        ObjectHash::new("limit", self.name.as_str().as_bytes()).rank(target.as_str())
+    }
+
+    /// Returns the latest changes of limits, to tell them to other VMs.
+    pub fn limit_news(&self) -> Vec<LimitNews> {
+        self.lock().limit_news.recent(Instant::now())
+    }
+
+    /// Applies changes of limits that another VM tells, unless a later response to this VM shows the
+    /// state of the target.
+    pub fn apply_limit_news(&self, news: &[LimitNews]) {
+        let now = Instant::now();
         let mut inner = self.lock();
         let share = inner.share();
-        inner.with_access(key, |access| access.record_limit(Instant::now(), limit, phase, share))
+        for news in news {
+            let phase = self.limit_phase(&news.target);
+            let states = inner.targets.iter().filter(|(_, targets)| {
+                targets.get(&news.target).is_some_and(|state| state.record.born == news.born)
+            });
+            let Some(service) = states.map(|(service, _)| service.clone()).next() else { continue };
+            if !inner.limit_news.record(news, now) {
+                continue;
+            }
+            let (born, name) = (news.born, news.target.clone());
+            let key = TargetKey { born, name, object: None, service };
+            let at = now.checked_sub(news.age).unwrap_or(now);
+            inner.with_access(&key, |access| {
+                if access.limit().is_some_and(|limit| limit.confirmed() > at) {
+                    return;
+                }
+                let notice = news.rate.map_or(LimitNotice::Absent, LimitNotice::PerSecond);
+                access.record_limit(now, notice, phase, share);
+            });
+        }
     }
 
     pub(super) fn put_back_limit(&self, key: &TargetKey, placed: Instant) {
--- a/crates/steer/tests/fleet_view.rs
+++ b/crates/steer/tests/fleet_view.rs
@@ -24,7 +24,7 @@
 
 fn hello(vm: &VmRecord, live: &[&VmRecord]) -> VmHello {
     let live = live.iter().map(|vm| vm.name.clone()).collect();
-    VmHello { leaving: false, live, store_lost: false, vm: vm.clone() }
+    VmHello { leaving: false, limits: Vec::new(), live, store_lost: false, vm: vm.clone() }
 }
 
 fn names(vms: &[VmRecord], peers: &BTreeSet<SocketAddr>) -> String {
--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -100,6 +100,7 @@
             for name in ["entry-2", "entry-3"] {
                 let hello = VmHello {
                     leaving: false,
+                    limits: Vec::new(),
                     live: BTreeSet::new(),
                     store_lost: others_lost,
                     vm: vm(name, 2, "lis-a", "lisboa"),
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -106,8 +106,8 @@
     for number in 2..=count {
         let mut vm = vm(&format!("entry-{number}"), number, "lis-a", "lisboa");
         vm.capacity = 500;
-        let (leaving, live) = (false, BTreeSet::new());
-        router.fleet().record_hello(VmHello { leaving, live, store_lost: false, vm });
+        let (leaving, limits, live) = (false, Vec::new(), BTreeSet::new());
+        router.record_hello(VmHello { leaving, limits, live, store_lost: false, vm });
     }
 }
 
--- a/crates/steer/tests/slow_links.rs
+++ b/crates/steer/tests/slow_links.rs
@@ -171,8 +171,8 @@
         for number in 2..=28 {
             let mut vm = vm(&format!("entry-{number}"), number, "lis-a", "lisboa");
             vm.capacity = 500;
-            let (leaving, live) = (false, BTreeSet::new());
-            router.fleet().record_hello(VmHello { leaving, live, store_lost: false, vm });
+            let (leaving, limits, live) = (false, Vec::new(), BTreeSet::new());
+            router.record_hello(VmHello { leaving, limits, live, store_lost: false, vm });
         }
         sleep(Duration::from_millis(700)).await;
     }
--- a/crates/steer/tests/target_limits.rs
+++ b/crates/steer/tests/target_limits.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+use quickcheck::{Arbitrary, Gen};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,8 +23,11 @@
 /// Time after its first notice from which the requests of a VM count.
 const NOTICE_TIME: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(10);
+const HELLO_PERIOD: Duration = Duration::from_millis(700);
 const WORK: Duration = Duration::from_millis(300);
 
+const RUNS: u64 = 40;
+
 /// Returns how many requests a target may get in a window; the operators' bound.
 fn bound(rate: f64) -> f64 {
     1.5 * rate * WINDOW.as_secs_f64() + 5.0
@@ -123,11 +127,28 @@
                 vm.running.push((at + WORK, guard));
             }
         }
+        tell_news(&vms, at);
         advance(STEP).await;
     }
     arrivals
 }
 
+/// Lets the VMs of each of three regions tell each other their news, and now and then those of all.
+fn tell_news(vms: &[SimulatedVm], at: Duration) {
+    let is_due = |period: Duration| at.as_millis().is_multiple_of(period.as_millis());
+    if !is_due(HELLO_PERIOD) {
+        return;
+    }
+    let news: Vec<_> = vms.iter().map(|vm| vm.table.limit_news()).collect();
+    for (from, news) in news.iter().enumerate() {
+        for (to, vm) in vms.iter().enumerate() {
+            if from % 3 == to % 3 || is_due(HELLO_PERIOD * 3) {
+                vm.table.apply_limit_news(news);
+            }
+        }
+    }
+}
+
 /// Returns the most requests that count in a window in which a limit holds, and that limit.
 fn busiest(plan: &Plan, arrivals: &[Arrival]) -> Option<(usize, f64)> {
     let counted: Vec<Duration> = arrivals.iter().filter(|a| a.counts).map(|a| a.at).collect();
@@ -183,6 +204,47 @@
     insta::assert_snapshot!(table);
 }
 
+fn arbitrary_notice(g: &mut Gen) -> LimitNotice {
+    match u8::arbitrary(g) % 6 {
+        0 => LimitNotice::Absent,
+        1 => LimitNotice::Unclear,
+        2 => LimitNotice::PerSecond(0.0),
+        3 => LimitNotice::PerSecond(f64::from(u8::arbitrary(g))),
+        _ => LimitNotice::PerSecond(f64::from(u8::arbitrary(g)) / 20.0),
+    }
+}
+
+fn arbitrary_time(g: &mut Gen) -> Duration {
+    Duration::from_millis(u64::from(u16::arbitrary(g)) % 40_000)
+}
+
+#[tokio::test(start_paused = true)]
+async fn limits_hold_over_any_series_of_notices_restarts_and_callers() {
+    for seed in 0..RUNS {
+        let mut g = Gen::from_size_and_seed(30, seed);
+        let count = 1 + usize::from(u8::arbitrary(&mut g) % 40);
+        let busy = u8::arbitrary(&mut g);
+        let weights: Vec<u8> = (0..count).map(|_| u8::arbitrary(&mut g)).collect();
+        let scale = f64::from(busy) / 255.0 / count as f64;
+        let mut notices: Vec<_> = (0..u8::arbitrary(&mut g) % 5)
+            .map(|_| (arbitrary_time(&mut g), arbitrary_notice(&mut g)))
+            .collect();
+        notices.sort_by_key(|(at, _)| *at);
+        let plan = Plan {
+            demand: weights.into_iter().map(|weight| f64::from(weight) * scale).collect(),
+            notices,
+            restarts: (0..u8::arbitrary(&mut g) % 4)
+                .map(|_| (arbitrary_time(&mut g), usize::arbitrary(&mut g) % count))
+                .collect(),
+            time: Duration::from_secs(45),
+        };
+        let arrivals = simulate(&plan, seed).await;
+        if let Some((most, rate)) = busiest(&plan, &arrivals) {
+            assert!(most as f64 <= bound(rate), "seed {seed}: {most} at {rate}, {plan:?}");
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_limited_target_tells_when_it_takes_the_next_request() {
     let vm = SimulatedVm::start(0, 2);
