Bound the time for which a target counts as cold

Cause: the time was added to the clock, which overflows and panics while the table's lock is held. Evidence: a_target_that_stays_cold_for_longer_than_any_clock_ends_no_task panicked with 'overflow when adding duration to instant'.

--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -57,6 +57,9 @@
 }
 
 impl TargetAccess {
+    /// Longest time for which a target counts as cold; a clock can't add any time.
+    const LONGEST_COLD: Duration = Duration::from_secs(24 * 3_600);
+
     /// Admits a request, given this VM's requests in flight at the target and whether its quota for
     /// a cold target has room.
     ///
@@ -214,7 +217,7 @@
     /// assert!(access.admit(now + Duration::from_secs(2), 0, || false).is_err());
     /// ```
     pub fn record_cold(&mut self, source: BeliefSource, now: Instant, time: Duration) {
-        let until = now + time;
+        let until = now + time.min(Self::LONGEST_COLD);
         if time > Duration::ZERO && self.cold.is_none_or(|cold| cold.until < until) {
             self.cold = Some(ColdLimit { belief: Belief::new(source, now), until });
         }
--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -174,3 +174,15 @@
     follower.apply(Change::Removed("lis-a".into()));
     assert!(router.target_table().place_request(&query).is_ok());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_stays_cold_for_longer_than_any_clock_ends_no_task() {
+    let mut odd = target("b");
+    odd.cold_left = Duration::MAX;
+    let script = vec![
+        ScriptedResponse::List(&["a"]),
+        ScriptedResponse::Changes(vec![Change::Put("b".into(), odd)]),
+        ScriptedResponse::Changes(vec![Change::Put("c".into(), target("c"))]),
+    ];
+    insta::assert_snapshot!(run(script, false, &[100, 4_000]).await);
+}
