--- a/crates/steer/src/flows/followers.rs
+++ b/crates/steer/src/flows/followers.rs
@@ -26,6 +26,7 @@
 
     fn log_refused(&self, name: &str, reason: &str) {
         warn!(self.router.log(), "settings: version refused"; "object" => name, "reason" => reason);
+        self.router.record_unreadable(self.name(), name, reason);
     }
 }
 
@@ -68,6 +69,12 @@
         Self { router, zones: Mutex::default() }
     }
 
+    fn add(&self, name: &str) {
+        self.update(|zones| {
+            zones.insert(name.into());
+        });
+    }
+
     fn update(&self, change: impl FnOnce(&mut BTreeSet<AvailabilityZoneName>)) {
         let mut zones = self.zones.lock().expect("no holder of the zones' lock panics");
         let before = zones.clone();
@@ -83,10 +90,10 @@
     fn apply(&self, change: Change<()>) {
         match change {
             // The object's name alone identifies the zone, so its content may be unreadable.
-            Change::Put(name, ()) | Change::Unreadable(name, _) => {
-                self.update(|zones| {
-                    zones.insert((&*name).into());
-                });
+            Change::Put(name, ()) => self.add(&name),
+            Change::Unreadable(name, reason) => {
+                self.router.record_unreadable(self.name(), &name, &reason);
+                self.add(&name);
             }
             Change::Removed(name) => self.update(|zones| {
                 zones.remove(&*name);
@@ -99,6 +106,9 @@
     }
 
     fn replace(&self, listing: Listing<()>) {
+        for (name, reason) in &listing.unreadable {
+            self.router.record_unreadable(self.name(), name, reason);
+        }
         let names = listing.items.into_keys().chain(listing.unreadable.into_keys());
         let all = names.map(|name| AvailabilityZoneName::from(&*name)).collect();
         self.update(|zones| *zones = all);
@@ -162,8 +172,7 @@
             Change::Put(_, record) => self.put(record),
             Change::Removed(name) => self.remove((&*name).into()),
             Change::Unreadable(name, reason) => {
-                warn!(self.router.log(), "placement: registration unreadable";
-                    "target" => &*name, "reason" => reason);
+                self.router.record_unreadable(self.name(), &name, &reason);
                 self.remove((&*name).into());
             }
         }
@@ -189,6 +198,9 @@
     }
 
     fn replace(&self, listing: Listing<TargetRecord>) {
+        for (name, reason) in &listing.unreadable {
+            self.router.record_unreadable(self.name(), name, reason);
+        }
         let mut missing = self.router.target_table().names();
         for record in listing.items.into_values() {
             missing.remove(&record.name);
@@ -230,7 +242,9 @@
     fn apply(&self, change: Change<VmRecord>) {
         match change {
             Change::Put(_, vm) => self.router.fleet().add_registered(vm),
-            Change::Removed(name) | Change::Unreadable(name, _) => {
+            Change::Removed(name) => self.router.fleet().remove_registered(&(&*name).into()),
+            Change::Unreadable(name, reason) => {
+                self.router.record_unreadable(self.name(), &name, &reason);
                 self.router.fleet().remove_registered(&(&*name).into());
             }
         }
@@ -241,6 +255,9 @@
     }
 
     fn replace(&self, listing: Listing<VmRecord>) {
+        for (name, reason) in &listing.unreadable {
+            self.router.record_unreadable(self.name(), name, reason);
+        }
         listing.items.into_values().for_each(|vm| self.router.fleet().add_registered(vm));
         self.router.fleet().set_registry_read();
         self.router.target_table().set_vms(self.router.fleet().known());
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -4,7 +4,7 @@
 use crate::{
     FleetView, RegionName, RetryBudget, RouteTable, ServiceName, TargetTable, VmHello, VmState,
 };
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -78,6 +78,16 @@
         self.log.log()
     }
 
+    /// Logs and counts an object of the store that can't be read.
+    pub fn record_unreadable(&self, registry: &str, name: &str, reason: &str) {
+        /// Maximum number of characters of each text that are logged.
+        const MAX_CHARS: usize = 200;
+        let shorten = |text: &str| text.chars().take(MAX_CHARS).collect::<String>();
+        self.ports.meter.count("store.unreadable", 1);
+        warn!(self.log(), "store: object unreadable"; "registry" => registry,
+            "object" => shorten(name), "reason" => shorten(reason));
+    }
+
     /// Returns the log for lines about requests.
     pub fn request_log(&self) -> &RequestLog {
         &self.log
--- a/crates/steer/src/ports/object_source.rs
+++ b/crates/steer/src/ports/object_source.rs
@@ -25,12 +25,14 @@
     pub relayed: bool,
     /// Revision of the store.
     pub revision: u64,
+    /// Number of objects that were left out because they have no usable name.
+    pub unnamed: usize,
 }
 
 impl ObjectBatch {
     /// Creates a batch that was read from the store.
     pub fn new(objects: Vec<RawObject>, revision: u64) -> Self {
-        Self { objects, relayed: false, revision }
+        Self { objects, relayed: false, revision, unnamed: 0 }
     }
 
     /// Marks the batch as relayed by a peer.
--- a/crates/steer/src/relay/relayed_source.rs
+++ b/crates/steer/src/relay/relayed_source.rs
@@ -45,15 +45,21 @@
         Self { cache, limits, relayed: AtomicBool::new(false), router, store }
     }
 
-    /// Counts a call to the store, and its failure.
+    /// Counts a call to the store, its failure, and objects without a usable name.
     fn count_call(
         &self,
+        kind: &str,
         result: Result<ObjectBatch, RegistryError>,
     ) -> Result<ObjectBatch, RegistryError> {
         let meter = &self.router.ports().meter;
         meter.count("store.calls", 1);
-        if result.is_err() {
-            meter.count("store.failed", 1);
+        match &result {
+            Ok(batch) => {
+                for _ in 0..batch.unnamed {
+                    self.router.record_unreadable(kind, "", "it has no usable name");
+                }
+            }
+            Err(_) => meter.count("store.failed", 1),
         }
         result
     }
@@ -66,7 +72,7 @@
     ) -> Result<ObjectBatch, RegistryError> {
         let has_delegates = self.router.fleet().has_delegates();
         let wait = if has_delegates { wait.min(self.limits.wait) } else { wait };
-        let batch = self.count_call(self.store.watch(kind, revision, wait).await)?;
+        let batch = self.count_call(kind, self.store.watch(kind, revision, wait).await)?;
         self.cache.extend(kind, revision, batch.clone(), Instant::now());
         Ok(batch)
     }
@@ -88,7 +94,7 @@
         {
             return Ok(all);
         }
-        let all = self.count_call(self.store.list(kind).await)?;
+        let all = self.count_call(kind, self.store.list(kind).await)?;
         self.cache.replace(kind, all.clone(), self.limits.max_age, Instant::now());
         Ok(all)
     }
