Refuse what can't end before a stopping process

Cause: until 2.5 s after SIGTERM each request was taken, whatever its work time and the time for the stop. Evidence: a_request_that_can_not_end_before_the_process_is_refused_at_once (4 s for the stop, work of 2.5 s, sent after 1.5 s) got 'no answer' before. Change: a request whose service's mean work time, times 1.5, reaches past the end of the process is refused at once as not run; one whose deadline comes first is taken.

--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -32,7 +32,7 @@
 };
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Environment variable that holds the path of the settings file.
@@ -76,6 +76,9 @@
 /// How long a stopping VM still accepts connections, to serve callers that use an outdated
 /// directory response.
 const LINGER: Duration = Duration::from_millis(2_500);
+/// Part of the time for a stop in which connections are accepted at most; the rest is for requests
+/// to end.
+const LINGER_SHARE: f64 = 0.4;
 /// Time reserved before SIGKILL for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which the settings file is reloaded without a SIGHUP.
@@ -168,11 +171,13 @@
     stop.wait().await;
     info!(log, "vm: stopping"; "connections" => control.connections());
     registration.abort();
+    router.set_stop(Instant::now() + settings.grace().saturating_sub(EXIT_MARGIN));
     router.fleet().leave();
     let vm = vm.drain();
     tokio::spawn(withdraw(Arc::clone(&router), registry));
-    sleep(LINGER).await;
-    let remaining = settings.grace().saturating_sub(LINGER + EXIT_MARGIN);
+    let linger = LINGER.min(settings.grace().mul_f64(LINGER_SHARE));
+    sleep(linger).await;
+    let remaining = settings.grace().saturating_sub(linger + EXIT_MARGIN);
     if !control.close(remaining).await {
         warn!(log, "vm: connections still open at the drain deadline";
             "connections" => control.connections());
--- a/crates/ragwortswitch/tests/router.rs
+++ b/crates/ragwortswitch/tests/router.rs
@@ -36,6 +36,11 @@
 
 /// Starts a target that responds with its name after [`WORK_TIME`].
 async fn start_target(name: &'static str) -> SocketAddr {
+    start_slow_target(name, WORK_TIME).await
+}
+
+/// Starts a target that takes some time for each request.
+async fn start_slow_target(name: &'static str, time: Duration) -> SocketAddr {
     let listener =
         Listener::bind("127.0.0.1:0".parse().unwrap(), ListenerLimits::default()).await.unwrap();
     let address = listener.address().unwrap();
@@ -46,7 +51,7 @@
             *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return response;
         }
-        sleep(WORK_TIME).await;
+        sleep(time).await;
         let mut response = Response::new(full_body(name));
         response.headers_mut().insert("response-stamp", "3e1b.07".parse().unwrap());
         if let Some(id) = headers.get("request-id") {
@@ -92,6 +97,11 @@
 
 impl TestRouter {
     async fn start(test: &str) -> Self {
+        Self::start_with_grace(test, 6).await
+    }
+
+    /// Starts a router that is given some seconds to stop.
+    async fn start_with_grace(test: &str, seconds: u32) -> Self {
         let store = ObjectStore::default();
         let (store_address, _) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let [callers, directory, metrics, peers, ready] = [(); 5].map(|()| free_address());
@@ -100,7 +110,7 @@
         let settings = json!({
             "callers": callers, "cold_burst": 5, "cold_factor": 1.5, "cores": 1,
             "cpu_share": 0.2, "descriptors": 1024, "directory": directory,
-            "grace_s": 6, "max_shift": 0.15, "metrics": metrics, "name": "entry-1", "peers": peers, "ready": ready,
+            "grace_s": seconds, "max_shift": 0.15, "metrics": metrics, "name": "entry-1", "peers": peers, "ready": ready,
             "region": "lisboa", "seeds": [], "store": store_address, "zone": "lis-a",
             "traces": { "output": { "file": traces }, "ratio": 1 },
             "zones": { "lis-a": "lisboa" },
@@ -213,3 +223,27 @@
     assert_eq!(span["parent"], TRACE[36..52]);
     assert_eq!(span["notes"]["status"], "200");
 }
+
+/// A planned stop with 4 s, and requests that take 2.5 s.
+#[tokio::test]
+async fn a_request_that_can_not_end_before_the_process_is_refused_at_once() {
+    let router = TestRouter::start_with_grace("late", 4).await;
+    let target = start_slow_target("i-1", Duration::from_millis(2_500)).await;
+    register(&router.store, "i-1", "briefs", target, "ready");
+    router.store.put("config", "main", configuration("00000003", "briefs"), Value::Null);
+    router.wait_for(router.ready, "/-/ready", "200 ").await;
+    router.wait_for(router.callers, "/warm", "200 ").await;
+    let early = router.get(router.callers, "/early");
+    let late = async {
+        sleep(Duration::from_millis(200)).await;
+        router.signal("TERM");
+        sleep(Duration::from_millis(1_500)).await;
+        let started = Instant::now();
+        let answer = router.get(router.callers, "/late").await;
+        (answer, started.elapsed())
+    };
+    let (early, (late, time)) = tokio::join!(early, late);
+    assert!(early.starts_with("200 "), "{early}");
+    assert!(late.starts_with("503 ") && late.contains("not-run"), "{late}");
+    assert!(time < Duration::from_secs(2), "{time:?}");
+}
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -31,6 +31,9 @@
 /// Maximum time over which callers' retries are spread.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
 
+/// Multiple of the mean work time within which most requests end.
+const WORK_SPREAD: f64 = 1.5;
+
 /// Share of a route's latency objective that a request may wait at a target. A request that waits
 /// longer misses the objective and delays the requests behind it.
 const MAX_WAIT_SHARE: f64 = 0.5;
@@ -74,6 +77,9 @@
     let service = route.split.choose();
     let wait = caller.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let until = arrived + wait;
+    if ends_too_late(router, service, until) {
+        return Err(refuse_early(router, caller, ErrorKind::Stopping));
+    }
     let fault = BodyFault::default();
     let limits = BodyLimits::with_deadline(until).bytes(table.max_body.unwrap_or(u64::MAX));
     let request = request.map(|body| limit_body(body, limits, &fault));
@@ -88,6 +94,14 @@
     result
 }
 
+/// Returns whether this VM is stopping and its process probably ends before the request: another VM
+/// serves it whole.
+fn ends_too_late(router: &Router, service: &ServiceName, until: Instant) -> bool {
+    let Some(stops_at) = router.stops_at() else { return false };
+    let end = Instant::now() + router.target_table().work_time(service).mul_f64(WORK_SPREAD);
+    end.min(until) > stops_at
+}
+
 /// Refuses a request before any target is chosen, and logs it.
 fn refuse_early(router: &Router, caller: &CallerRequest, kind: ErrorKind) -> Refusal {
     router.ports().meter.count(&format!("requests.refused.{}", kind.slug()), 1);
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -8,9 +8,9 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, RwLock},
+    sync::{Arc, Mutex, OnceLock, RwLock},
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// Active routes, targets, fleet view and ports of one entry VM.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     /// Has a limit of its own, so that lines about requests don't displace the few about targets.
     target_log: RequestLog,
     routes: RwLock<Option<Arc<RouteTable>>>,
+    /// When the process ends, once it is stopping.
+    stops_at: OnceLock<Instant>,
     state: watch::Receiver<VmState>,
 }
 
@@ -43,6 +45,7 @@
             target_log: RequestLog::new(parts.log, Arc::clone(&parts.ports.meter)),
             ports: parts.ports,
             routes: RwLock::default(),
+            stops_at: OnceLock::new(),
             state,
         }
     }
@@ -119,6 +122,18 @@
         *self.state.borrow()
     }
 
+    /// Sets when the process ends. Requests that can't be answered by then are refused from now on.
+    pub fn set_stop(&self, at: Instant) {
+        if self.stops_at.set(at).is_err() {
+            warn!(self.log(), "vm: already stopping");
+        }
+    }
+
+    /// Returns when the process ends, if it is stopping.
+    pub fn stops_at(&self) -> Option<Instant> {
+        self.stops_at.get().copied()
+    }
+
     /// Returns whether the VM accepts new callers.
     pub fn is_ready(&self) -> bool {
         self.state() == VmState::Serving && self.routes().is_some()
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -292,6 +292,12 @@
         }
     }
 
+    /// Returns the mean work time of a service's requests.
+    pub fn work_time(&self, service: &ServiceName) -> Duration {
+        let work = self.lock().work.get(service).copied().unwrap_or_default();
+        Duration::from_secs_f64(work.get())
+    }
+
     /// Returns how many requests per window the fleet may send to a cold target of a service.
     fn cold_burst(&self, inner: &TargetTableState, service: &ServiceName) -> u32 {
         let Some(rules) = inner.rules.get(service) else { return 0 };
