Let the soak name limits and grow configurations

A checker counts what limited targets get. The benchmark of choosing a target has a case with limits.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -27,6 +27,8 @@
 pub enum Fault {
     /// The operator writes this many configurations in quick succession.
     Configure(u32),
+    /// The operator writes a configuration with this many routes more, and later ones keep them.
+    Grow(usize),
     /// The operator evacuates a zone for this long.
     Evacuate(usize, Duration),
     /// A target says in its responses that it leaves, drains after this long, and returns as a new
@@ -38,6 +40,10 @@
     /// A target says falsely that it leaves, while a VM receives SIGHUPs and configurations, and then
     /// SIGTERM. The target returns later as a new incarnation.
     LeaveAmidSignals(usize, usize),
+    /// A target names a limit on its requests, in thousandths a second, for this long.
+    Limit(usize, u32, Duration),
+    /// A target names limits that can't be used for this long.
+    LimitFalsely(usize, Duration),
     /// A target refuses all requests for a time, and asks to be spared for up to a second time.
     Refuse(usize, Duration, Duration),
     /// A VM is stopped this many times in a row amid configurations, and restarted at once each time:
@@ -75,6 +81,7 @@
             Self::Compact
                 | Self::Configure(_)
                 | Self::Evacuate(..)
+                | Self::Grow(_)
                 | Self::KillAll(_)
                 | Self::Store(..)
         )
--- a/crates/soak/src/find_violations.rs
+++ b/crates/soak/src/find_violations.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     CallOutcome, Completion, HistoryRecorder, Kind, PlannedChange, Run, Subject,
-    find_ignored_notices::find_ignored_notices, soak_fleet::ZONES,
+    find_ignored_notices::find_ignored_notices, find_passed_limits::find_passed_limits,
+    soak_fleet::ZONES,
 };
 use derive_more::Display;
 use std::{collections::BTreeMap, time::Duration};
@@ -42,6 +43,7 @@
     }
     found.extend(checker.check_recovery(recovered));
     found.extend(find_ignored_notices(recorder));
+    found.extend(find_passed_limits(recorder));
     for detail in recorder.process_failures() {
         found.push(Violation { detail, promise: "a planned stop ends in time" });
     }
--- a/crates/soak/src/history_recorder.rs
+++ b/crates/soak/src/history_recorder.rs
@@ -82,6 +82,8 @@
     pub at: Instant,
     /// Incarnation of the target.
     pub incarnation: u64,
+    /// Whether the response names a limit that can be used.
+    pub limited: bool,
     /// What the response says of the target.
     pub notice: Option<Notice>,
     /// Number of the target.
@@ -130,6 +132,8 @@
 #[derive(Debug, Default)]
 struct Entries {
     arrivals: BTreeMap<String, Vec<Arrival>>,
+    /// When a target began or ceased to name a limit, which is in requests a second.
+    limits: Vec<(Instant, usize, Option<f64>)>,
     completions: BTreeMap<String, Completion>,
     changes: Vec<(Instant, PlannedChange)>,
     runs: BTreeMap<String, Vec<Run>>,
@@ -201,6 +205,16 @@
         self.with(|e| e.completions.clone())
     }
 
+    /// Records the limit that a target names from now on.
+    pub fn record_limit(&self, target: usize, rate: Option<f64>) {
+        self.with(|e| e.limits.push((Instant::now(), target, rate)));
+    }
+
+    /// Returns when each target began or ceased to name a limit.
+    pub fn limits(&self) -> Vec<(Instant, usize, Option<f64>)> {
+        self.with(|e| e.limits.clone())
+    }
+
     /// Returns the arrivals at targets by request id.
     pub fn arrivals(&self) -> BTreeMap<String, Vec<Arrival>> {
         self.with(|e| e.arrivals.clone())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod fault;
 mod find_ignored_notices;
+mod find_passed_limits;
 mod find_violations;
 mod fleet_size;
 mod history_recorder;
@@ -39,6 +40,6 @@
     run::{SoakOptions, SoakReport, run_soak},
     schedule::{Schedule, Step},
     soak_fleet::SoakFleet,
-    stand_ins::{AnswerStyle, SoakTarget, run_caller, run_pipelining_caller},
+    stand_ins::{AnswerStyle, NamedLimit, SoakTarget, run_caller, run_pipelining_caller},
     vm_process::{Exit, VmProcess},
 };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,9 +1,9 @@
 //! Runs a soak: starts the fleet, injects the faults of a seed, and checks the promises.
 
 use crate::{
-    CallOutcome, Completion, Exit, Fault, FleetSize, LinkFault, PlannedChange, Schedule, SoakFleet,
-    SoakTarget, Step, Subject, Violation, VmProcess, find_violations, run_caller,
-    run_pipelining_caller, schedule::FAULT_FREE_END, soak_fleet::SHUTDOWN_GRACE,
+    CallOutcome, Completion, Exit, Fault, FleetSize, LinkFault, NamedLimit, PlannedChange,
+    Schedule, SoakFleet, SoakTarget, Step, Subject, Violation, VmProcess, find_violations,
+    run_caller, run_pipelining_caller, schedule::FAULT_FREE_END, soak_fleet::SHUTDOWN_GRACE,
     stand_ins::wait_ready,
 };
 use futures_util::future::join_all;
@@ -138,6 +138,10 @@
             sleep(time).await;
             fleet.set_evacuated(zone, false);
         }
+        Fault::Grow(routes) => {
+            fleet.add_routes(routes);
+            fleet.write_configuration();
+        }
         Fault::HangUp(vm) => hang_up(fleet, vm).await,
         Fault::Kill(vm, time) => kill(fleet, vm, time).await,
         Fault::KillAll(time) => {
@@ -156,6 +160,10 @@
             sleep(FALSE_LEAVE_TIME).await;
             replace(fleet, target).await;
         }
+        Fault::Limit(target, rate, time) => {
+            limit(fleet, target, NamedLimit::PerSecond(f64::from(rate) / 1000.0), time).await;
+        }
+        Fault::LimitFalsely(target, time) => limit(fleet, target, NamedLimit::Unusable, time).await,
         Fault::Pause(vm, time) => pause(fleet, vm, &*fleet.processes[vm].lock().await, time).await,
         Fault::Refuse(target, time, pause) => fleet.targets[target].refuse_for(time, pause),
         Fault::RestartSeries(vm, count) => restart_in_series(fleet, vm, count).await,
@@ -185,6 +193,13 @@
     }
 }
 
+/// Lets a target name a limit for some time.
+async fn limit(fleet: &SoakFleet, target: usize, limit: NamedLimit, time: Duration) {
+    fleet.targets[target].set_limit(limit);
+    sleep(time).await;
+    fleet.targets[target].set_limit(NamedLimit::None);
+}
+
 async fn configure(fleet: &SoakFleet, count: u32) {
     for _ in 0..count {
         fleet.write_configuration();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -44,6 +44,7 @@
             (seed, StepKind::Single),
             (!seed, StepKind::Notice),
             (seed.rotate_left(32), StepKind::Series),
+            (seed.rotate_left(16), StepKind::Need),
         ];
         for (seed, kind) in generators {
             let mut generator = Generator { rng: SmallRng::seed_from_u64(seed), size };
@@ -57,6 +58,8 @@
 /// Kind of faults that a generator draws.
 #[derive(Clone, Copy)]
 enum StepKind {
+    /// Limits that targets ask for, and configurations that grow.
+    Need,
     /// Notices of targets, and stops of VMs amid changes.
     Notice,
     /// Series of signals, restarts and changes, and connections that lose requests.
@@ -76,10 +79,11 @@
         let (mut at, mut steps) = (FAULT_FREE_START, Vec::new());
         let mean_gap = match kind {
             StepKind::Notice | StepKind::Single => MEAN_GAP,
-            StepKind::Series => SERIES_GAP,
+            StepKind::Need | StepKind::Series => SERIES_GAP,
         } / self.size.factor() as u32;
         while at + FAULT_FREE_END < length {
             let (fault, count, gap_ms) = match kind {
+                StepKind::Need => (self.draw_need(), 1, 0),
                 StepKind::Notice => (self.draw_notice(), self.rng.random_range(1..3), 200),
                 StepKind::Series => (self.draw_series(), 1, 0),
                 StepKind::Single => {
@@ -119,6 +123,17 @@
         }
     }
 
+    fn draw_need(&mut self) -> Fault {
+        let (_, target) = self.draw_pair();
+        let time = self.seconds(3.0, 10.0);
+        match self.rng.random_range(0..6) {
+            0 => Fault::Grow(self.rng.random_range(200..1_500)),
+            1 => Fault::LimitFalsely(target, time),
+            2 => Fault::Limit(target, 0, time),
+            _ => Fault::Limit(target, self.rng.random_range(200..8_000), time),
+        }
+    }
+
     fn draw_series(&mut self) -> Fault {
         let (vm, target) = self.draw_pair();
         match self.rng.random_range(0..6) {
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -13,7 +13,7 @@
     process,
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU32, Ordering},
+        atomic::{AtomicU8, AtomicU32, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -27,6 +27,8 @@
 /// Services of the targets. Each configuration changes the service of the route `moved` to the
 /// other one.
 pub(crate) const SERVICES: [&str; 2] = ["briefs", "media"];
+/// Maximum number of routes that no caller uses; a configuration has half a megabyte then.
+const MAX_ROUTES: usize = 3_000;
 /// Time that a VM has for its shutdown, as set in `grace_s`.
 pub(crate) const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
@@ -47,6 +49,8 @@
     pub(crate) recorder: Arc<HistoryRecorder>,
     pub(crate) addresses: Vec<ListenAddresses>,
     pub(crate) processes: Vec<Mutex<VmProcess>>,
+    /// Number of routes of a configuration that no caller uses.
+    routes: AtomicUsize,
     store: ObjectStore,
     store_proxies: Vec<Proxy>,
     pub(crate) targets: Vec<SoakTarget>,
@@ -95,6 +99,7 @@
             store_proxies,
             addresses,
             processes: Vec::new(),
+            routes: AtomicUsize::new(0),
             store,
             targets,
             version: AtomicU32::new(0),
@@ -134,11 +139,17 @@
         const VERSION_STEP: u32 = 3;
         let version = self.version.fetch_add(VERSION_STEP, Ordering::Relaxed) + VERSION_STEP;
         let service = SERVICES[(version / VERSION_STEP) as usize % SERVICES.len()];
-        let spec = configuration(version, service);
+        let spec = configuration(version, service, self.routes.load(Ordering::Relaxed));
         self.store.put("config", "main", spec, Value::Null);
         self.recorder.record_change(PlannedChange::Configured(service));
     }
 
+    /// Adds routes to the configurations that are written from now on.
+    pub(crate) fn add_routes(&self, count: usize) {
+        let routes = self.routes.load(Ordering::Relaxed) + count;
+        self.routes.store(routes.min(MAX_ROUTES), Ordering::Relaxed);
+    }
+
     /// Registers a target in the given state.
     pub(crate) fn register(&self, number: usize, state: &str) {
         let target = &self.targets[number];
--- a/crates/soak/src/stand_ins/mod.rs
+++ b/crates/soak/src/stand_ins/mod.rs
@@ -9,8 +9,10 @@
 mod target;
 
 pub use self::{
-    answer_style::AnswerStyle, callers::run_caller, pipelining_callers::run_pipelining_caller,
-    target::SoakTarget,
+    answer_style::AnswerStyle,
+    callers::run_caller,
+    pipelining_callers::run_pipelining_caller,
+    target::{NamedLimit, SoakTarget},
 };
 pub(crate) use self::{
     objects::{configuration, registration},
--- a/crates/soak/src/stand_ins/target.rs
+++ b/crates/soak/src/stand_ins/target.rs
@@ -5,7 +5,7 @@
     message::MessageHead,
 };
 use crate::{Arrival, HistoryRecorder, LinkFault, Notice, Proxy, Run};
-use rand::RngExt;
+use rand::{RngExt, rngs::SmallRng};
 use std::{
     io,
     net::SocketAddr,
@@ -35,11 +35,44 @@
 pub struct SoakTarget {
     number: usize,
     proxy: Proxy,
+    recorder: Arc<HistoryRecorder>,
     service: &'static str,
     state: Arc<Mutex<TargetState>>,
     zone: &'static str,
 }
 
+/// Limit on its requests that a target names.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// None.
+    #[default]
+    None,
+    /// Requests a second from all VMs together.
+    PerSecond(f64),
+    /// Values that can't be used.
+    Unusable,
+}
+
+impl NamedLimit {
+    fn header(self, rng: &mut SmallRng) -> String {
+        const UNUSABLE: [&str; 5] = ["", "-3", "NaN", "inf", "soon"];
+        match self {
+            Self::None => String::new(),
+            Self::PerSecond(rate) => format!("server-limit: {rate}\r\n"),
+            Self::Unusable => {
+                format!("server-limit: {}\r\n", UNUSABLE[rng.random_range(0..UNUSABLE.len())])
+            }
+        }
+    }
+
+    fn rate(self) -> Option<f64> {
+        match self {
+            Self::PerSecond(rate) => Some(rate),
+            Self::None | Self::Unusable => None,
+        }
+    }
+}
+
 /// What a target tells those that send it requests.
 #[derive(Clone, Copy, Debug, Default)]
 struct TargetState {
@@ -49,6 +82,7 @@
     incarnation: u64,
     /// Whether its responses say that it leaves.
     leaving: bool,
+    limit: NamedLimit,
     /// Until when it refuses all requests, and for how long it then asks to be spared.
     refusal: Option<(Instant, Duration)>,
 }
@@ -88,7 +122,13 @@
         let proxy = Proxy::start(listener.local_addr()?).await?;
         let state: Arc<Mutex<TargetState>> = Arc::default();
         let busy = Arc::default();
-        let handler = RequestHandler { busy, number, recorder, service, state: Arc::clone(&state) };
+        let handler = RequestHandler {
+            busy,
+            number,
+            recorder: Arc::clone(&recorder),
+            service,
+            state: Arc::clone(&state),
+        };
         tokio::spawn(async move {
             loop {
                 // Accept fails when descriptors run out; retry once other connections have closed.
@@ -100,7 +140,7 @@
                 tokio::spawn(async move { handler.serve(stream).await });
             }
         });
-        Ok(Self { number, proxy, service, state, zone })
+        Ok(Self { number, proxy, recorder, service, state, zone })
     }
 
     /// Returns the address of the proxy, at which VMs reach the target.
@@ -120,11 +160,13 @@
             let calm = state.calm;
             *state = TargetState { calm, incarnation, ..TargetState::default() };
         });
+        self.recorder.record_limit(self.number, None);
     }
 
     /// Ends random refusals and faulty responses.
     pub fn calm_down(&self) {
-        with(&self.state, |state| state.calm = true);
+        with(&self.state, |state| (state.calm, state.limit) = (true, NamedLimit::None));
+        self.recorder.record_limit(self.number, None);
     }
 
     /// Sets whether responses say that the target leaves.
@@ -132,6 +174,12 @@
         with(&self.state, |state| state.leaving = leaving);
     }
 
+    /// Sets the limit that responses name.
+    pub fn set_limit(&self, limit: NamedLimit) {
+        with(&self.state, |state| state.limit = limit);
+        self.recorder.record_limit(self.number, limit.rate());
+    }
+
     /// Refuses all requests for some time, and asks to be spared for up to `pause` after each.
     pub fn refuse_for(&self, time: Duration, pause: Duration) {
         with(&self.state, |state| state.refusal = Some((Instant::now() + time, pause)));
@@ -174,14 +222,17 @@
     ) -> io::Result<bool> {
         let state = with(&self.state, |state| *state);
         let (id, expected) = (head.header("request-id"), head.header("expect-instance"));
+        let mut rng = generator(id, self.number);
         let leaving = if state.leaving { "server-leaving: 1\r\n" } else { "" };
+        let state_headers =
+            format!("{leaving}{}", state.limit.header(&mut generator(id, !self.number)));
         if !expected.is_empty() && expected != name(self.number, state.incarnation) {
             head.read_body(stream).await?;
             return self.refuse(stream, id, "421 Misdirected Request", "").await.map(|()| true);
         }
         let (at, incarnation, target) = (Instant::now(), state.incarnation, self.number);
-        let arrival = Arrival { at, incarnation, notice: None, target };
-        let mut rng = generator(id, self.number);
+        let limited = state.limit.rate().is_some();
+        let arrival = Arrival { at, incarnation, limited, notice: None, target };
         let refusal = state.refusal.filter(|(until, _)| at < *until);
         if refusal.is_some()
             || self.busy.load(Ordering::Relaxed) >= MAX_REQUESTS
@@ -198,7 +249,7 @@
                 None => (String::new(), None),
             };
             self.recorder.record_arrival(id, Arrival { at: Instant::now(), notice, ..arrival });
-            let header = header + leaving;
+            let header = header + &state_headers;
             self.refuse(stream, id, "503 Service Unavailable", &header).await?;
             if rng.random_bool(0.3) {
                 sleep(REPETITION_PAUSE.mul_f64(rng.random_range(0.0..2.0))).await;
@@ -224,7 +275,7 @@
         let load = self.busy.load(Ordering::Relaxed);
         let head = format!(
             "HTTP/1.1 200 OK\r\nresponse-stamp: 3e1b.07\r\nrequest-id: {id}\r\n\
-             server-load: {load},0,{SLOTS},100\r\n{leaving}"
+             server-load: {load},0,{SLOTS},100\r\n{state_headers}"
         );
         let open = style.write(stream, &head, &format!("{id} {length}")).await?;
         self.recorder.record_end(id, target);
--- a/crates/soak/tests/find_violations.rs
+++ b/crates/soak/tests/find_violations.rs
@@ -34,7 +34,8 @@
 /// Records requests that target 0 receives and answers now; their responses hold a notice.
 fn receive(recorder: &HistoryRecorder, ids: &[&str], notice: Option<Notice>) {
     for id in ids {
-        let arrival = Arrival { at: Instant::now(), incarnation: 0, notice, target: 0 };
+        let arrival =
+            Arrival { at: Instant::now(), incarnation: 0, limited: false, notice, target: 0 };
         recorder.record_arrival(id, arrival);
         let outcome = match notice {
             Some(Notice::Pause(_)) => CallOutcome::Status(503),
@@ -49,7 +50,8 @@
 fn repeat_elsewhere(recorder: &HistoryRecorder, style: AnswerStyle) {
     recorder.record_run("a", Run { style, ..run(0, "briefs") });
     for (target, notice) in [(0, Some(Notice::Leaving)), (6, None)] {
-        let arrival = Arrival { at: Instant::now(), incarnation: 0, notice, target };
+        let arrival =
+            Arrival { at: Instant::now(), incarnation: 0, limited: false, notice, target };
         recorder.record_arrival("a", arrival);
     }
     recorder.record_run("a", run(6, "briefs"));
@@ -400,3 +402,46 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Records requests of a VM at a target that names two a second for 20 s, 10 in each later second.
+async fn exceed_limit(recorder: &HistoryRecorder, seconds: u64, disrupted: bool) -> String {
+    recorder.record_limit(0, Some(2.0));
+    for second in 0..20 {
+        if disrupted && second == 5 {
+            let disruption = recorder.begin_disruption(Subject::Vm(1));
+            recorder.end_disruption(disruption);
+        }
+        let count = if (6..6 + seconds).contains(&second) { 10 } else { 1 };
+        for i in 0..count {
+            let id = format!("{second}-{i}");
+            let arrival = Arrival {
+                at: Instant::now(),
+                incarnation: 0,
+                limited: true,
+                notice: None,
+                target: 0,
+            };
+            recorder.record_arrival(&id, arrival);
+            recorder.record_run(&id, run(0, "briefs"));
+            recorder.record_completion(id, completion(whole(), Kind::Read, Instant::now()));
+        }
+        advance(SECOND).await;
+    }
+    recorder.record_limit(0, None);
+    let found = find_violations(recorder, Instant::now() + SECOND);
+    let found = found.iter().map(ToString::to_string);
+    found.collect::<Vec<_>>().join("; ")
+}
+
+#[tokio::test(start_paused = true)]
+async fn finds_targets_that_got_more_than_their_limit() {
+    let mut table = String::new();
+    for (name, seconds, disrupted) in
+        [("kept", 0, false), ("once", 1, false), ("passed", 3, false), ("excused", 3, true)]
+    {
+        let recorder = HistoryRecorder::default();
+        let found = exceed_limit(&recorder, seconds, disrupted).await;
+        writeln!(table, "{name}: [{found}]").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/steer/benches/decisions.rs
+++ b/crates/steer/benches/decisions.rs
@@ -12,9 +12,9 @@
     time::Duration,
 };
 use steer::{
-    AdmissionQueue, BlockTable, ClientBlock, FairQueue, MemberName, MemberWeights, PlacementLimits,
-    PlacementQuery, SlotRequest, TargetCandidate, TargetName, TargetPool, TargetRecord,
-    TargetSettings, TargetTable, Urgency, choose_target,
+    AdmissionQueue, BlockTable, ClientBlock, FairQueue, LimitNews, MemberName, MemberWeights,
+    PlacementLimits, PlacementQuery, SlotRequest, TargetCandidate, TargetName, TargetPool,
+    TargetRecord, TargetSettings, TargetTable, Urgency, choose_target,
 };
 use tokio::time::Instant;
 
@@ -154,22 +154,39 @@
 fn placement(c: &mut Criterion) {
     let mut group = c.benchmark_group("placement");
     for count in FLEETS {
-        let zones = BTreeMap::from([("lis-a".into(), "lisboa".into())]);
-        let here = ("lis-a".into(), "lisboa".into());
-        let limits = PlacementLimits::default();
-        let table = Arc::new(TargetTable::new("entry-1".into(), here, zones, limits));
-        for i in 0..count {
-            let address = "10.0.0.1:80".parse().unwrap();
-            let record = TargetRecord::new(format!("target-{i}"), "briefs", address);
-            table.apply(record.slots(6).zone("lis-a"));
+        for limited in [false, true] {
+            let table = placement_table(count, limited);
+            let query = PlacementQuery::new("briefs");
+            let name = if limited { "half limited" } else { "unlimited" };
+            group.bench_with_input(BenchmarkId::new(name, count), &query, |b, query| {
+                b.iter(|| table.place_request(query).unwrap());
+            });
         }
-        let query = PlacementQuery::new("briefs");
-        group.bench_with_input(BenchmarkId::from_parameter(count), &query, |b, query| {
-            b.iter(|| table.place_request(query).unwrap());
-        });
     }
     group.finish();
 }
 
+/// Creates a table of targets, half of which may name a limit that is never reached.
+fn placement_table(count: usize, limited: bool) -> Arc<TargetTable> {
+    let zones = BTreeMap::from([("lis-a".into(), "lisboa".into())]);
+    let here = ("lis-a".into(), "lisboa".into());
+    let limits = PlacementLimits::default();
+    let table = Arc::new(TargetTable::new("entry-1".into(), here, zones, limits));
+    table.set_vms(["entry-1".into(), "entry-2".into()].into());
+    for i in 0..count {
+        let address = "10.0.0.1:80".parse().unwrap();
+        let record = TargetRecord::new(format!("target-{i}"), "briefs", address);
+        table.apply(record.slots(6).zone("lis-a"));
+    }
+    let named = (0..count).filter(|i| limited && i % 2 == 0).map(|i| LimitNews {
+        age: Duration::ZERO,
+        born: 0,
+        rate: Some(1e12),
+        target: format!("target-{i}").into(),
+    });
+    table.apply_limit_news(&named.collect::<Vec<_>>());
+    table
+}
+
 criterion_group!(benches, choice, admission, eviction, admit_choose_release, look_up, placement);
 criterion_main!(benches);
