--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -125,12 +125,12 @@
 
     fn draw_need(&mut self) -> Fault {
         let (_, target) = self.draw_pair();
-        let time = self.seconds(3.0, 10.0);
+        let time = self.seconds(6.0, 14.0);
         match self.rng.random_range(0..6) {
             0 => Fault::Grow(self.rng.random_range(200..1_500)),
             1 => Fault::LimitFalsely(target, time),
             2 => Fault::Limit(target, 0, time),
-            _ => Fault::Limit(target, self.rng.random_range(200..8_000), time),
+            _ => Fault::Limit(target, self.rng.random_range(200..4_000), time),
         }
     }
 
