Date news of limits by their response, not by their arrival

Callers saw nothing; a VM that heard late of a limit ignored news of its end. Cause: a limit learned from another VM counted as confirmed when the news arrived, so later changes that were told seconds after their response looked older than it. Evidence: news_that_arrives_late_does_not_hide_later_news; before, 'it ended 1 s ago: limited'. Change: the time of the response is kept, as told by the news' age.

--- a/crates/steer/src/placement/requested_limit.rs
+++ b/crates/steer/src/placement/requested_limit.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RequestedLimit {
     belief: Belief,
-    /// When a response last named the limit.
+    /// When a response to any VM last named the limit, as far as this VM knows.
     confirmed: Instant,
     /// Part of the time between two requests by which this VM's requests are shifted against those of
     /// others.
@@ -79,14 +79,14 @@
         self.belief
     }
 
-    /// Returns when a response last named the limit.
+    /// Returns when a response to any VM last named the limit, as far as this VM knows.
     pub fn confirmed(&self) -> Instant {
         self.confirmed
     }
 
-    /// Records a response that names the limit.
-    pub fn confirm(&mut self, now: Instant) {
-        self.confirmed = now;
+    /// Sets when a response named the limit.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed = at;
     }
 
     /// Changes the requests a second for the fleet; this VM's part is `share`.
--- a/crates/steer/src/placement/target_access.rs
+++ b/crates/steer/src/placement/target_access.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Sets when a response to another VM named the limit.
+    pub fn confirm_limit(&mut self, at: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.confirm(at);
+        }
+    }
+
     /// Takes back the count of a request that was placed at `placed` and not sent.
     pub fn put_back_limit(&mut self, placed: Instant) {
         if let Some(limit) = self.limit.as_mut().filter(|limit| limit.belief().since <= placed) {
--- a/crates/steer/src/placement/target_table.rs
+++ b/crates/steer/src/placement/target_table.rs
@@ -405,6 +405,7 @@
                 }
                 let notice = news.rate.map_or(LimitNotice::Absent, LimitNotice::PerSecond);
                 access.record_limit(now, notice, phase, share);
+                access.confirm_limit(at);
             });
         }
     }
--- a/crates/steer/tests/target_limits.rs
+++ b/crates/steer/tests/target_limits.rs
@@ -11,8 +11,8 @@
     time::Duration,
 };
 use steer::{
-    LimitNotice, PlacementError, PlacementGuard, PlacementLimits, PlacementQuery, TargetOutcome,
-    TargetRecord, TargetTable, VmName,
+    LimitNews, LimitNotice, PlacementError, PlacementGuard, PlacementLimits, PlacementQuery,
+    TargetOutcome, TargetRecord, TargetTable, VmName,
 };
 use tokio::time::{Instant, advance};
 
@@ -296,3 +296,32 @@
     advance(Duration::from_secs(4)).await;
     assert!(place().is_ok());
 }
+
+#[tokio::test(start_paused = true)]
+async fn news_that_arrives_late_does_not_hide_later_news() {
+    let vm = SimulatedVm::start(0, 1);
+    let query = PlacementQuery::new("briefs");
+    let news = |ms: u64, rate: Option<f64>| LimitNews {
+        age: Duration::from_millis(ms),
+        born: 0,
+        rate,
+        target: "t-1".into(),
+    };
+    advance(Duration::from_secs(10)).await;
+    let mut table = String::new();
+    let mut describe = |text: &str| {
+        let limited = vm.table.place_request(&query).is_err();
+        writeln!(table, "{text}: {}", if limited { "limited" } else { "unlimited" }).unwrap();
+    };
+    vm.table.apply_limit_news(&[news(3_000, Some(0.5))]);
+    describe("a limit began 3 s ago");
+    vm.table.apply_limit_news(&[news(1_000, None)]);
+    describe("it ended 1 s ago");
+    vm.table.apply_limit_news(&[news(2_000, Some(0.5))]);
+    describe("a change of 2 s ago");
+    vm.table.apply_limit_news(&[news(500, Some(0.5))]);
+    describe("it began again 0.5 s ago");
+    vm.table.apply_limit_news(&[news(100, None)]);
+    describe("it ended 0.1 s ago");
+    insta::assert_snapshot!(table);
+}
