Grow configurations of the soak less

The store stand-in encodes a configuration for each VM and change, in a debug build and in the process of the callers. Change: configurations grow to 800 routes, about 140 kB and three parts, instead of 3,000 routes; that still relays in parts.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -127,7 +127,7 @@
         let (_, target) = self.draw_pair();
         let time = self.seconds(6.0, 14.0);
         match self.rng.random_range(0..6) {
-            0 => Fault::Grow(self.rng.random_range(200..1_500)),
+            0 => Fault::Grow(self.rng.random_range(200..600)),
             1 => Fault::LimitFalsely(target, time),
             2 => Fault::Limit(target, 0, time),
             _ => Fault::Limit(target, self.rng.random_range(200..4_000), time),
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -27,8 +27,8 @@
 /// Services of the targets. Each configuration changes the service of the route `moved` to the
 /// other one.
 pub(crate) const SERVICES: [&str; 2] = ["briefs", "media"];
-/// Maximum number of routes that no caller uses; a configuration has half a megabyte then.
-const MAX_ROUTES: usize = 3_000;
+/// Maximum number of routes that no caller uses; a configuration is relayed in three parts then.
+const MAX_ROUTES: usize = 800;
 /// Time that a VM has for its shutdown, as set in `grace_s`.
 pub(crate) const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
