--- a/crates/adapters/src/peers/fleet_server.rs
+++ b/crates/adapters/src/peers/fleet_server.rs
@@ -3,7 +3,8 @@
 use super::{
     wire_hello::{HELLO, WireHello},
     wire_update::{
-        FETCH_PART, QUERY_UPDATES, WirePartQuery, WireUpdateQuery, WireUpdateReply, encode_reply,
+        FETCH_PAGE, FETCH_PART, QUERY_UPDATES, WirePage, WirePageQuery, WirePartQuery,
+        WireUpdateQuery, WireUpdateReply, encode_reply,
     },
 };
 use jsonrpsee::{
@@ -12,9 +13,9 @@
     types::{ErrorObjectOwned, Params},
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
-use steer::{ObjectCache, PartQuery, Router, UpdateQuery, VmHello};
+use steer::{ObjectCache, PageQuery, PartQuery, Router, UpdateQuery, VmHello};
 
-/// JSON-RPC error code for a version of an object that this VM doesn't have.
+/// JSON-RPC error code for objects that this VM doesn't have.
 const MISSING_CODE: i32 = -32002;
 /// Largest request in bytes; a hello message lists up to a few hundred VMs.
 const MAX_REQUEST_BYTES: u32 = 64 << 10;
@@ -53,6 +54,9 @@
     module
         .register_method(FETCH_PART, |params, (_, cache), _| handle_part(&params, cache))
         .expect("the method is registered once");
+    module
+        .register_method(FETCH_PAGE, |params, (_, cache), _| handle_page(&params, cache))
+        .expect("the method is registered once");
     Ok(server.start(module))
 }
 
@@ -62,11 +66,17 @@
     cache.part(&query).ok_or_else(missing)
 }
 
+fn handle_page(params: &Params<'_>, cache: &ObjectCache) -> Result<WirePage, ErrorObjectOwned> {
+    let query = PageQuery::from(params.one::<WirePageQuery>()?);
+    let missing = || ErrorObjectOwned::owned(MISSING_CODE, "no objects of the kind", None::<()>);
+    cache.page(&query).map(WirePage::from).ok_or_else(missing)
+}
+
 fn handle_hello(params: &Params<'_>, router: &Router) -> Result<WireHello, ErrorObjectOwned> {
     let hello = VmHello::from(params.one::<WireHello>()?);
-    let region = hello.vm.region.clone();
+    let peer = hello.vm.clone();
     router.record_hello(hello);
-    Ok(WireHello::from(&router.hello_to(&region)))
+    Ok(WireHello::from(&router.hello_to(&peer)))
 }
 
 async fn handle_updates(
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -7,7 +7,8 @@
     wire_lease::{LEASE, WireLeaseGrant, WireLeaseRequest},
     wire_suspects::{SUSPECTS, WireSuspects},
     wire_update::{
-        FETCH_PART, QUERY_UPDATES, WirePartQuery, WireUpdateQuery, WireUpdateReply, decode_reply,
+        FETCH_PAGE, FETCH_PART, QUERY_UPDATES, WirePage, WirePageQuery, WirePartQuery,
+        WireUpdateQuery, WireUpdateReply, decode_reply,
     },
 };
 use crate::{Acceptance, ConnectionPool, http::CROSSED, strip_hop_headers, to_origin_form};
@@ -26,27 +27,57 @@
     collections::BTreeMap,
     fmt::{self, Debug, Formatter},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use steer::{
-    Body, ControlPart, ControlUsage, Exchange, Heartbeat, HelloPeers, PartQuery, PeerError,
-    PeerMessage, PeerReply, Peers, REQUEST_ID_HEADER, SendError, SettingsBatch, UpdatePeers,
-    UpdateQuery, UpdateReply, VmHello,
+    Body, ControlPart, ControlUsage, Exchange, Heartbeat, HelloPeers, ObjectPage, PageQuery,
+    PartQuery, PeerError, PeerMessage, PeerReply, Peers, REQUEST_ID_HEADER, SendError,
+    SettingsBatch, UpdatePeers, UpdateQuery, UpdateReply, VmHello,
 };
+use tokio::time::timeout;
 
 /// Bytes of a message besides its parameters or result: JSON-RPC envelope and WebSocket header.
 pub(super) const FRAME_OVERHEAD_BYTES: usize = 56;
 /// Largest reply of a peer in bytes; replies with settings or updates have several pages of the store.
 const MAX_REPLY_BYTES: u32 = 10 << 20;
-/// Timeout for connecting to a peer, and for each of its replies.
+/// Timeout for connecting to a peer, and for each of its replies to a message.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for each reply to a hello, and to a request for a part or a page. The flows that send
+/// them wait a little longer.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(750);
+/// Time for the reply to a long poll to arrive.
+const POLL_GRACE: Duration = Duration::from_millis(250);
+/// Number of missing replies in a row after which a connection is replaced, as it may be silent for
+/// good while a new one works. A single one may be due to a slow peer.
+const MAX_MISSED: u32 = 2;
+/// Limit of the client on the time of a call. Each call has a shorter one.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The client of a peer. The lock is held while connecting, so that there is at most one connection
 /// per peer.
-type ClientSlot = Arc<tokio::sync::Mutex<Option<Arc<Client>>>>;
+type ClientSlot = Arc<tokio::sync::Mutex<Option<Arc<PeerClient>>>>;
 type ClientSlots = BTreeMap<SocketAddr, ClientSlot>;
 
+/// The connection to a peer.
+#[derive(Debug)]
+struct PeerClient {
+    inner: Client,
+    /// Number of replies in a row that did not arrive in time.
+    missed: AtomicU32,
+}
+
+/// Limits on the reply to a call.
+#[derive(Clone, Copy, Debug)]
+struct ReplyLimit {
+    /// Number of missing replies in a row after which the connection is replaced.
+    max_missed: u32,
+    time: Duration,
+}
+
 /// Sends messages over one WebSocket per peer, and forwards requests over HTTP.
 pub struct RpcPeers {
     clients: Mutex<ClientSlots>,
@@ -70,10 +101,10 @@
     }
 
     /// Returns the client of a peer, connecting first if there is no open connection.
-    async fn client(&self, peer: SocketAddr) -> Result<Arc<Client>, PeerError> {
+    async fn client(&self, peer: SocketAddr) -> Result<Arc<PeerClient>, PeerError> {
         let slot = Arc::clone(self.lock().entry(peer).or_default());
         let mut slot = slot.lock().await;
-        if let Some(client) = slot.as_ref().filter(|client| client.is_connected()) {
+        if let Some(client) = slot.as_ref().filter(|client| client.inner.is_connected()) {
             return Ok(Arc::clone(client));
         }
         let unreachable = |e: String| PeerError::Unreachable(e);
@@ -84,8 +115,9 @@
             .build(url)
             .await
             .map_err(|e| unreachable(e.to_string()))?;
-        let builder = ClientBuilder::new().request_timeout(PEER_TIMEOUT);
-        let client = Arc::new(builder.build_with_tokio(sender, receiver));
+        let builder = ClientBuilder::new().request_timeout(CLIENT_TIMEOUT);
+        let inner = builder.build_with_tokio(sender, receiver);
+        let client = Arc::new(PeerClient { inner, missed: AtomicU32::new(0) });
         *slot = Some(Arc::clone(&client));
         Ok(client)
     }
@@ -96,12 +128,21 @@
         peer: SocketAddr,
         (method, part): (&str, ControlPart),
         message: &impl Serialize,
+        limit: ReplyLimit,
     ) -> Result<R, PeerError> {
         let client = self.client(peer).await?;
         let invalid = |e: serde_json::Error| PeerError::Invalid(e.to_string());
         let params = RawParams(serde_json::value::to_raw_value(&[message]).map_err(invalid)?);
         let sent = params.0.get().len() + FRAME_OVERHEAD_BYTES + method.len();
-        let reply: Result<Box<RawValue>, Error> = client.request(method, params).await;
+        let reply = timeout(limit.time, client.inner.request(method, params)).await;
+        let Ok(reply): Result<Result<Box<RawValue>, Error>, _> = reply else {
+            self.usage.record(part, sent, 0);
+            if client.missed.fetch_add(1, Ordering::Relaxed) + 1 >= limit.max_missed {
+                self.remove_client(peer, &client).await;
+            }
+            return Err(PeerError::NoReply);
+        };
+        client.missed.store(0, Ordering::Relaxed);
         let received = reply.as_ref().map_or(0, |reply| reply.get().len() + FRAME_OVERHEAD_BYTES);
         self.usage.record(part, sent, received);
         let reply = match reply {
@@ -117,7 +158,7 @@
     }
 
     /// Removes the client of a failed connection, unless it has been replaced already.
-    async fn remove_client(&self, peer: SocketAddr, client: &Arc<Client>) {
+    async fn remove_client(&self, peer: SocketAddr, client: &Arc<PeerClient>) {
         let slot = self.lock().get(&peer).cloned();
         let Some(slot) = slot else { return };
         let mut slot = slot.lock().await;
@@ -139,6 +180,7 @@
 fn to_peer_error(error: Error) -> PeerError {
     match error {
         Error::Call(rejection) => PeerError::Refused(rejection.message().to_owned()),
+        Error::RequestTimeout => PeerError::NoReply,
         Error::ParseError(e) => PeerError::Invalid(e.to_string()),
         other => PeerError::Unreachable(other.to_string()),
     }
@@ -147,38 +189,40 @@
 #[async_trait]
 impl Peers for RpcPeers {
     async fn call(&self, peer: SocketAddr, message: PeerMessage) -> Result<PeerReply, PeerError> {
+        // A call is not repeated over the same connection.
+        let limit = ReplyLimit { max_missed: 1, time: PEER_TIMEOUT };
         match message {
             PeerMessage::Exchange(exchange) => {
                 let method = (EXCHANGE, ControlPart::Heartbeats);
                 let wire: WireExchange =
-                    self.request(peer, method, &WireExchange::from(&exchange)).await?;
+                    self.request(peer, method, &WireExchange::from(&exchange), limit).await?;
                 let reply = Exchange::try_from(wire).map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Exchange(reply))
             }
             PeerMessage::Heartbeat(heartbeat) => {
                 let method = (HEARTBEAT, ControlPart::Heartbeats);
                 let wire: WireHeartbeat =
-                    self.request(peer, method, &WireHeartbeat::from(&heartbeat)).await?;
+                    self.request(peer, method, &WireHeartbeat::from(&heartbeat), limit).await?;
                 Ok(PeerReply::Heartbeat(Heartbeat::from(wire)))
             }
             PeerMessage::Lease(request) => {
                 let method = (LEASE, ControlPart::Other);
                 let wire: WireLeaseGrant =
-                    self.request(peer, method, &WireLeaseRequest::from(&request)).await?;
+                    self.request(peer, method, &WireLeaseRequest::from(&request), limit).await?;
                 let grant = wire.try_into().map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Lease(grant))
             }
             PeerMessage::Settings(query) => {
                 let method = (SETTINGS, ControlPart::Settings);
                 let wire: WireSettingsBatch =
-                    self.request(peer, method, &WireSettingsQuery::from(&query)).await?;
+                    self.request(peer, method, &WireSettingsQuery::from(&query), limit).await?;
                 let batch = SettingsBatch::try_from(wire).map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Settings(batch))
             }
             PeerMessage::Suspects(suspects) => {
                 let method = (SUSPECTS, ControlPart::Other);
                 let wire = WireSuspects::from(suspects.as_slice());
-                let wire: WireSuspects = self.request(peer, method, &wire).await?;
+                let wire: WireSuspects = self.request(peer, method, &wire, limit).await?;
                 let known = wire.try_into().map_err(PeerError::Invalid)?;
                 Ok(PeerReply::Suspects(known))
             }
@@ -211,7 +255,8 @@
 impl HelloPeers for RpcPeers {
     async fn send_hello(&self, peer: SocketAddr, hello: &VmHello) -> Result<VmHello, PeerError> {
         let method = (HELLO, ControlPart::Heartbeats);
-        let reply: WireHello = self.request(peer, method, &WireHello::from(hello)).await?;
+        let limit = ReplyLimit { max_missed: MAX_MISSED, time: HELLO_TIMEOUT };
+        let reply: WireHello = self.request(peer, method, &WireHello::from(hello), limit).await?;
         Ok(reply.into())
     }
 }
@@ -224,14 +269,27 @@
         query: &UpdateQuery,
     ) -> Result<UpdateReply, PeerError> {
         let method = (QUERY_UPDATES, ControlPart::Settings);
+        let limit = ReplyLimit { max_missed: MAX_MISSED, time: query.wait + POLL_GRACE };
         let reply: WireUpdateReply =
-            self.request(peer, method, &WireUpdateQuery::from(query)).await?;
+            self.request(peer, method, &WireUpdateQuery::from(query), limit).await?;
         Ok(decode_reply(reply))
     }
 
     async fn fetch_part(&self, peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError> {
         let method = (FETCH_PART, ControlPart::Settings);
-        self.request(peer, method, &WirePartQuery::from(query)).await
+        let limit = ReplyLimit { max_missed: MAX_MISSED, time: HELLO_TIMEOUT };
+        self.request(peer, method, &WirePartQuery::from(query), limit).await
+    }
+
+    async fn fetch_page(
+        &self,
+        peer: SocketAddr,
+        query: &PageQuery,
+    ) -> Result<ObjectPage, PeerError> {
+        let method = (FETCH_PAGE, ControlPart::Settings);
+        let limit = ReplyLimit { max_missed: MAX_MISSED, time: HELLO_TIMEOUT };
+        let page: WirePage = self.request(peer, method, &WirePageQuery::from(query), limit).await?;
+        Ok(page.into())
     }
 }
 
--- a/crates/adapters/src/peers/wire_hello.rs
+++ b/crates/adapters/src/peers/wire_hello.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
-use steer::{LimitNews, TargetName, VmHello, VmName, VmRecord};
+use steer::{AvailabilityZoneName, LimitNews, TargetName, VmHello, VmName, VmRecord, ZoneReport};
 
 /// JSON-RPC method that exchanges hello messages.
 pub(super) const HELLO: &str = "hello";
@@ -22,20 +22,65 @@
     k: Vec<(TargetName, u64, Option<f64>, u64)>,
     /// Whether the sender accepts no new callers.
     l: bool,
-    /// Live VMs in the region of the sender.
+    /// Live VMs in the region of the sender, for VMs that don't know `p`.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     m: BTreeSet<VmName>,
     /// Name.
     n: String,
+    /// Live VMs of availability zones.
+    #[serde(default)]
+    p: Option<Vec<WireReport>>,
     /// Region.
     r: String,
     /// Whether the sender has lost its connection to the store.
     #[serde(default)]
     s: bool,
+    /// Availability zones in whose reports names are missing.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    w: BTreeSet<AvailabilityZoneName>,
     /// Availability zone.
     z: String,
 }
 
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct WireReport {
+    /// Age in milliseconds.
+    a: u64,
+    /// Digest of the names.
+    d: u64,
+    /// Names.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    m: Option<BTreeSet<VmName>>,
+    /// Availability zone.
+    z: AvailabilityZoneName,
+}
+
+impl From<&ZoneReport> for WireReport {
+    fn from(report: &ZoneReport) -> Self {
+        Self {
+            a: millis(report.age),
+            d: report.digest,
+            m: report.live.as_deref().cloned(),
+            z: report.zone.clone(),
+        }
+    }
+}
+
+impl From<WireReport> for ZoneReport {
+    fn from(wire: WireReport) -> Self {
+        let age = Duration::from_millis(wire.a);
+        // The digest of the names that arrived, whatever the sender says of them.
+        match wire.m {
+            Some(live) => Self { age, ..Self::new(wire.z, live) },
+            None => Self { age, digest: wire.d, live: None, zone: wire.z },
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl From<&VmHello> for WireHello {
     fn from(hello: &VmHello) -> Self {
         let vm = &hello.vm;
@@ -47,16 +92,17 @@
             l: hello.leaving,
             m: hello.live.clone(),
             n: vm.name.to_string(),
+            p: hello.reports.as_ref().map(|reports| reports.iter().map(Into::into).collect()),
             r: vm.region.to_string(),
             s: hello.store_lost,
+            w: hello.wanted.clone(),
             z: vm.zone.to_string(),
         }
     }
 }
 
 fn encode_limit(news: &LimitNews) -> (TargetName, u64, Option<f64>, u64) {
-    let age = u64::try_from(news.age.as_millis()).unwrap_or(u64::MAX);
-    (news.target.clone(), news.born, news.rate, age)
+    (news.target.clone(), news.born, news.rate, millis(news.age))
 }
 
 /// Decodes a change of a limit; `None` if its rate can't be one.
@@ -79,6 +125,14 @@
             zone: wire.z.into(),
         };
         let limits = wire.k.into_iter().filter_map(decode_limit).collect();
-        Self { leaving: wire.l, limits, live: wire.m, store_lost: wire.s, vm }
+        Self {
+            leaving: wire.l,
+            limits,
+            live: wire.m,
+            reports: wire.p.map(|reports| reports.into_iter().map(Into::into).collect()),
+            store_lost: wire.s,
+            vm,
+            wanted: wire.w,
+        }
     }
 }
--- a/crates/adapters/src/peers/wire_update.rs
+++ b/crates/adapters/src/peers/wire_update.rs
@@ -2,15 +2,26 @@
 
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use steer::{KindUpdate, LargeObject, ObjectBatch, PartQuery, RawObject, UpdateQuery, UpdateReply};
+use steer::{
+    KindUpdate, LargeObject, ObjectBatch, ObjectPage, PageQuery, PartQuery, RawObject, UpdateQuery,
+    UpdateReply,
+};
 
 /// JSON-RPC method that queries store updates.
 pub(super) const QUERY_UPDATES: &str = "news";
 /// JSON-RPC method that returns a part of the text of a large object.
 pub(super) const FETCH_PART: &str = "part";
+/// JSON-RPC method that returns a page of the objects of a kind.
+pub(super) const FETCH_PAGE: &str = "page";
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireUpdateQuery {
+    /// Age in milliseconds of what the sender has, by kind.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    a: BTreeMap<Arc<str>, u64>,
+    /// Whether the sender requests long lists in pages.
+    #[serde(default, skip_serializing_if = "is_false")]
+    l: bool,
     /// Whether the sender requests the texts of large objects in parts.
     #[serde(default, skip_serializing_if = "is_false")]
     p: bool,
@@ -30,6 +41,9 @@
     /// Large objects as tuples of name, length and digest of the text.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     l: Vec<(Arc<str>, usize, u64)>,
+    /// Name of the last object, if `o` is the first page of a list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    m: Option<Arc<str>>,
     /// Objects as tuples of name, text and whether it was deleted.
     o: Vec<(Arc<str>, Arc<str>, bool)>,
     /// Revision of the store after these changes.
@@ -49,13 +63,27 @@
 
 impl From<&UpdateQuery> for WireUpdateQuery {
     fn from(query: &UpdateQuery) -> Self {
-        Self { p: query.parts, r: query.revisions.clone(), w: millis(query.wait) }
+        let ages = query.ages.iter().map(|(kind, age)| (Arc::clone(kind), millis(*age)));
+        Self {
+            a: ages.collect(),
+            l: query.pages,
+            p: query.parts,
+            r: query.revisions.clone(),
+            w: millis(query.wait),
+        }
     }
 }
 
 impl From<WireUpdateQuery> for UpdateQuery {
     fn from(wire: WireUpdateQuery) -> Self {
-        Self { parts: wire.p, revisions: wire.r, wait: Duration::from_millis(wire.w) }
+        let ages = wire.a.into_iter().map(|(kind, age)| (kind, Duration::from_millis(age)));
+        Self {
+            ages: ages.collect(),
+            pages: wire.l,
+            parts: wire.p,
+            revisions: wire.r,
+            wait: Duration::from_millis(wire.w),
+        }
     }
 }
 
@@ -67,6 +95,7 @@
             a: millis(kind.age),
             f: kind.full,
             l: large.collect(),
+            m: kind.more_after,
             o: objects.collect(),
             r: kind.batch.revision,
         }
@@ -80,7 +109,8 @@
         let batch = ObjectBatch::new(objects.collect(), wire.r);
         let large = wire.l.into_iter();
         let large = large.map(|(name, size, digest)| LargeObject { digest, name, size }).collect();
-        Self { age: Duration::from_millis(wire.a), full: wire.f, batch, large }
+        let age = Duration::from_millis(wire.a);
+        Self { age, full: wire.f, batch, large, more_after: wire.m }
     }
 }
 
@@ -112,6 +142,49 @@
     }
 }
 
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePageQuery {
+    /// Name of the last object that the sender has received.
+    a: Arc<str>,
+    /// Kind of the objects.
+    k: Arc<str>,
+}
+
+impl From<&PageQuery> for WirePageQuery {
+    fn from(query: &PageQuery) -> Self {
+        Self { a: Arc::clone(&query.after), k: Arc::clone(&query.kind) }
+    }
+}
+
+impl From<WirePageQuery> for PageQuery {
+    fn from(wire: WirePageQuery) -> Self {
+        Self { after: wire.a, kind: wire.k }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePage {
+    /// Name of the last object, if there are more.
+    m: Option<Arc<str>>,
+    /// Names and texts of the objects.
+    o: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl From<ObjectPage> for WirePage {
+    fn from(page: ObjectPage) -> Self {
+        let objects = page.objects.into_iter().map(|object| (object.name, object.text));
+        Self { m: page.more_after, o: objects.collect() }
+    }
+}
+
+impl From<WirePage> for ObjectPage {
+    fn from(wire: WirePage) -> Self {
+        let objects = wire.o.into_iter();
+        let objects = objects.map(|(name, text)| RawObject { deleted: false, name, text });
+        Self { objects: objects.collect(), more_after: wire.m }
+    }
+}
+
 pub(super) fn encode_reply(reply: UpdateReply) -> WireUpdateReply {
     reply.into_iter().map(|(kind, update)| (kind, update.into())).collect()
 }
--- a/crates/adapters/tests/peers_contract.rs
+++ b/crates/adapters/tests/peers_contract.rs
@@ -76,6 +76,7 @@
         Ok(PeerReply::Exchange(exchange)) => format!("exchange from: {}", exchange.from),
         Ok(other) => format!("{other:?}"),
         Err(PeerError::Invalid(_)) => "invalid".to_owned(),
+        Err(PeerError::NoReply) => "no reply".to_owned(),
         Err(PeerError::Refused(reason)) => format!("refused: {reason}"),
         Err(PeerError::Unreachable(_)) => "unreachable".to_owned(),
     }
--- a/crates/adapters/tests/untrusted_peers.rs
+++ b/crates/adapters/tests/untrusted_peers.rs
@@ -140,6 +140,7 @@
     let message = PeerMessage::Exchange(Exchange { from: "other".into(), ..Exchange::default() });
     let result = match timeout(CALL_LIMIT, peers.call(peer, message)).await {
         Err(_) => "hangs",
+        Ok(Err(PeerError::NoReply)) => "no reply",
         Ok(Err(PeerError::Unreachable(_))) => "unreachable",
         Ok(Err(_)) => "another error",
         Ok(Ok(_)) => "a reply",
--- a/crates/adapters/tests/update_contract.rs
+++ b/crates/adapters/tests/update_contract.rs
@@ -68,7 +68,8 @@
 
 fn query(revisions: &[(&str, u64)], ms: u64) -> UpdateQuery {
     let revisions = revisions.iter().map(|(kind, revision)| ((*kind).into(), *revision));
-    UpdateQuery { parts: false, revisions: revisions.collect(), wait: Duration::from_millis(ms) }
+    let wait = Duration::from_millis(ms);
+    UpdateQuery { revisions: revisions.collect(), wait, ..UpdateQuery::default() }
 }
 
 fn describe(reply: &UpdateReply) -> String {
--- a/crates/ragwortswitch/src/commands/run_router.rs
+++ b/crates/ragwortswitch/src/commands/run_router.rs
@@ -26,8 +26,8 @@
 };
 use steer::{
     ConfigurationFollower, EvacuationFollower, FollowTiming, Follower, Freshness, NoTracer,
-    ObjectCache, Registry, RelayLimits, RelayedSource, Router, RouterParts, RouterPorts,
-    StoreRecoveries, TargetFollower, Vm, VmFollower, VmRegistry, follow_registry, poll_delegates,
+    ObjectCache, Registry, RelayTiming, RelayedSource, Router, RouterParts, RouterPorts, StoreGate,
+    StoreRecoveries, TargetFollower, Vm, VmFollower, VmRegistry, follow_registry, poll_upstreams,
     send_hellos,
 };
 use tokio::{
@@ -58,19 +58,13 @@
     period: Duration::from_secs(1),
     wait: Duration::from_secs(20),
 };
-/// Limits on relayed target registrations. The deadline to stop using a leaving target is at least
-/// two seconds.
-const TARGET_RELAY_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(1_900), wait: Duration::from_secs(1) };
-/// Limits on relayed configurations, whose deadline to take effect is at least two seconds.
-const CONFIGURATION_RELAY_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(2_100), wait: Duration::from_millis(1_200) };
-/// Limits on relayed evacuations, which must take effect within five seconds.
-const EVACUATION_RELAY_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(3_000), wait: Duration::from_secs(2) };
-/// Limits on relayed entry VM registrations. Hello messages between VMs report changes sooner.
-const VM_RELAY_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_secs(22), wait: Duration::from_secs(20) };
+/// Limit on the delay of entry VM registrations, in large fleets. Hello messages between VMs report
+/// changes sooner.
+const VM_LIMIT: Duration = Duration::from_secs(22);
+/// Time for which a poll of another VM is held open beyond the wait of the reader's call to the store.
+const POLL_MARGIN: Duration = Duration::from_millis(300);
+/// Time that all VMs of a fleet need to register when it starts for the first time.
+const BOOTSTRAP_DELAY: Duration = Duration::from_secs(1);
 /// Idle timeout of a caller's connection; longer than any limit that operators set.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a stopping VM still accepts connections, to serve callers that use an outdated
@@ -158,9 +152,11 @@
     info!(log, "vm: listening"; "name" => %settings.name, "callers" => %settings.callers);
 
     let client = StoreClient::new(settings.store);
-    follow_store(&router, &cache, &client);
+    follow_store(&router, &cache, &client, &settings);
     let peers = Arc::new(RpcPeers::new(pool));
-    tokio::spawn(poll_delegates(Arc::clone(&router), cache, Arc::clone(&peers) as _));
+    let poll_wait = RelayTiming::within(settings.change_limit()).wait + POLL_MARGIN;
+    let (polling, source) = (Arc::clone(&router), Arc::clone(&peers));
+    tokio::spawn(poll_upstreams(polling, cache, source as _, poll_wait));
     tokio::spawn(send_hellos(Arc::clone(&router), peers, state));
     let registry = StoreVmRegistry::new(&client);
     let registration = tokio::spawn(register(Arc::clone(&router), registry.clone()));
@@ -257,23 +253,40 @@
 }
 
 /// Starts a task for each registry of the store, which applies changes to the router.
-fn follow_store(router: &Arc<Router>, cache: &Arc<ObjectCache>, client: &StoreClient) {
+fn follow_store(
+    router: &Arc<Router>,
+    cache: &Arc<ObjectCache>,
+    client: &StoreClient,
+    settings: &RouterSettings,
+) {
     let recoveries = StoreRecoveries::new();
-    let source = |limits| {
+    let gate = Arc::new(StoreGate::new(&settings.name));
+    let source = |limit| {
         let (router, cache) = (Arc::clone(router), Arc::clone(cache));
-        Arc::new(RelayedSource::new(router, cache, limits, Arc::new(client.clone())))
+        let timing = RelayTiming::within(limit);
+        let source = RelayedSource::new(router, cache, timing, Arc::new(client.clone()));
+        source.with_gate(Arc::clone(&gate))
     };
-    let registry = configuration_registry(source(CONFIGURATION_RELAY_LIMITS));
+    // Confirmations of all kinds pass down the tree together, so they follow the shortest limit.
+    let limit = settings.change_limit();
+    let relayed = || Arc::new(source(limit).with_start_wait(RelayedSource::START_WAIT));
+    let registry = configuration_registry(relayed());
     let follower = ConfigurationFollower::new(Arc::clone(router));
     follow(router, registry, follower, CONFIGURATION_TIMING, &recoveries);
-    let registry = evacuation_registry(source(EVACUATION_RELAY_LIMITS));
+    let registry = evacuation_registry(relayed());
     let follower = EvacuationFollower::new(Arc::clone(router));
     follow(router, registry, follower, CONFIGURATION_TIMING, &recoveries);
-    let registry = target_registry(source(TARGET_RELAY_LIMITS));
+    let registry = target_registry(relayed());
     let follower = TargetFollower::new(Arc::clone(router));
     follow(router, registry, follower, TARGET_TIMING, &recoveries);
-    let registry = vm_registry(source(VM_RELAY_LIMITS));
-    follow(router, registry, VmFollower::new(Arc::clone(router)), VM_TIMING, &recoveries);
+    let registry = vm_registry(Arc::new(source(VM_LIMIT)));
+    let (router, is_first) = (Arc::clone(router), settings.bootstrap);
+    tokio::spawn(async move {
+        if is_first {
+            sleep(BOOTSTRAP_DELAY).await;
+        }
+        follow(&router, registry, VmFollower::new(Arc::clone(&router)), VM_TIMING, &recoveries);
+    });
 }
 
 fn follow<T: Send + 'static>(
--- a/crates/ragwortswitch/src/router_settings.rs
+++ b/crates/ragwortswitch/src/router_settings.rs
@@ -10,6 +10,12 @@
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RouterSettings {
+    /// Seconds within which a configuration must be in force everywhere.
+    #[serde(default = "RouterSettings::default_limit")]
+    pub(crate) apply_s: f64,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub(crate) bootstrap: bool,
     /// Address for callers' requests.
     pub(crate) callers: SocketAddr,
     /// Number of cores visible to this VM.
@@ -24,6 +30,12 @@
     pub(crate) descriptors: usize,
     /// Address of the directory.
     pub(crate) directory: SocketAddr,
+    /// Seconds after which a target that leaves must get no more requests.
+    #[serde(default = "RouterSettings::default_limit")]
+    pub(crate) drain_s: f64,
+    /// Seconds within which an evacuation must be in force everywhere.
+    #[serde(default = "RouterSettings::default_limit")]
+    pub(crate) evacuate_s: f64,
     /// Seconds between SIGTERM and SIGKILL.
     pub(crate) grace_s: f64,
     /// Lowest level that is logged: critical, error, warning, info, debug or trace.
@@ -75,6 +87,16 @@
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
     }
 
+    fn default_limit() -> f64 {
+        2.0
+    }
+
+    /// Shortest time within which a change in the store must take effect.
+    pub(crate) fn change_limit(&self) -> Duration {
+        let seconds = self.apply_s.min(self.drain_s).min(self.evacuate_s);
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
     /// Maximum number of caller connections. Uses half of the unreserved file descriptors, as each
     /// request also needs a connection to its target.
     pub(crate) fn max_connections(&self) -> usize {
--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -1,74 +1,23 @@
 //! Tracks which entry VMs are alive.
 
-use super::{VmHello, VmRecord};
+use super::{
+    RelayRole, RelayTree, VmHello, VmRecord,
+    fleet_state::{FleetState, Peer},
+};
 use crate::{AvailabilityZoneName, ObjectHash, RegionName, VmName};
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::time::Instant;
-
-/// State of another VM as known to this one.
-#[derive(Clone, Debug)]
-struct Peer {
-    leaving: bool,
-    /// When a delegate of the VM's region last reported it as live.
-    reported_at: Option<Instant>,
-    /// When the VM last sent a hello or a reply.
-    seen_at: Option<Instant>,
-    /// When the VM last reported that it can't reach the store.
-    store_lost: Option<Instant>,
-    vm: VmRecord,
-}
-
-impl Peer {
-    fn new(vm: VmRecord) -> Self {
-        Self { leaving: false, reported_at: None, seen_at: None, store_lost: None, vm }
-    }
-
-    fn is_live(&self, now: Instant) -> bool {
-        let within = |at: Option<Instant>, limit| at.is_some_and(|at| now - at < limit);
-        let seen = within(self.seen_at, FleetView::HELLO_TIMEOUT);
-        !self.leaving && (seen || within(self.reported_at, FleetView::REPORT_TIMEOUT))
-    }
-}
-
-/// Everything that the lock of a `FleetView` protects.
-#[derive(Debug, Default)]
-struct FleetViewState {
-    leaving: bool,
-    /// Whether all registered VMs have been read since the start.
-    registry_read: bool,
-    peers: BTreeMap<VmName, Peer>,
-    seeds: BTreeSet<SocketAddr>,
-    /// When the store became unreachable for this VM; `None` while it is reachable.
-    store_lost: Option<Instant>,
-}
-
-impl FleetViewState {
-    fn live(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
-        self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.vm)
-    }
-}
-
-/// Returns the delegates among some VMs: those with the most CPU capacity. Ties are broken by a
-/// hash of the names, so that all VMs choose the same ones.
-fn choose_delegates<'a>(vms: impl Iterator<Item = &'a VmRecord>) -> Vec<&'a VmRecord> {
-    let mut vms: Vec<&VmRecord> = vms.collect();
-    let hash = ObjectHash::new("delegate", b"");
-    vms.sort_by_cached_key(|vm| {
-        let rank = (hash.rank(vm.name.as_str()) * f64::from(u32::MAX)) as u32;
-        (Reverse(vm.capacity), rank)
-    });
-    vms.truncate(FleetView::DELEGATES);
-    vms
-}
+use tokio::{sync::watch, time::Instant};
 
 /// The entry VMs known to this one, and whether each is alive.
 ///
+/// In a small fleet all VMs exchange hellos. In a large one, the delegates of an availability zone
+/// exchange them with its VMs, and tell them and other delegates who lives there.
+///
 /// ```
 /// use steer::{FleetView, VmRecord};
 /// let vm = VmRecord {
@@ -85,31 +34,29 @@
 /// ```
 #[derive(Debug)]
 pub struct FleetView {
-    inner: Mutex<FleetViewState>,
+    inner: Mutex<FleetState>,
+    /// Changes when a VM begins to leave or refuses connections, and when this VM loses the store.
+    news: watch::Sender<()>,
+    /// Whether all registered VMs have been read since the start.
+    registry_read: watch::Sender<bool>,
     vm: VmRecord,
 }
 
 impl FleetView {
     /// Maximum number of addresses in a directory response.
     pub const MAX_ADDRESSES: usize = 64;
-    /// Number of delegates of a region: one, and a spare in case it fails.
-    pub const DELEGATES: usize = 2;
-    /// Maximum size of a fleet in which every VM exchanges hellos with all others.
-    pub const MAX_MESH_VMS: usize = 16;
-    /// Maximum size of a region in which every VM reads the store itself.
-    pub const MAX_DIRECT_VMS: usize = 4;
-    /// Time without a hello after which a VM counts as failed: three intervals and a reply timeout.
-    pub const HELLO_TIMEOUT: Duration = Duration::from_millis(2_500);
-    /// Time for which a report from another region's delegate is valid: two of its hello intervals
-    /// and a margin.
-    pub const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+    /// Time between two hellos to a peer of the same region.
+    pub const HELLO_PERIOD: Duration = Duration::from_millis(700);
+    /// Time since a delegate's last hello within which a VM of its zone sends none itself.
+    const HEARD_TIME: Duration = Duration::from_millis(1_100);
 
     /// Creates the view of a VM that knows only itself.
     pub fn new(vm: VmRecord) -> Self {
-        Self { inner: Mutex::default(), vm }
+        let inner = Mutex::new(FleetState::new(vm.clone()));
+        Self { inner, news: watch::Sender::new(()), registry_read: watch::Sender::new(false), vm }
     }
 
-    fn lock(&self) -> MutexGuard<'_, FleetViewState> {
+    fn lock(&self) -> MutexGuard<'_, FleetState> {
         self.inner.lock().expect("no holder of the view's lock panics")
     }
 
@@ -118,43 +65,61 @@
         &self.vm
     }
 
-    /// Returns the hello for a VM in a region. A delegate reports its own region's live VMs to
-    /// other regions; in a small fleet each VM tracks all others itself.
-    pub fn hello_to(&self, region: &RegionName) -> VmHello {
+    /// Returns the hello for a VM.
+    pub fn hello_to(&self, peer: &VmRecord) -> VmHello {
         let now = Instant::now();
-        let inner = self.lock();
+        let mut inner = self.lock();
+        let reports = Some(inner.reports_for(peer, now));
+        let live = inner.live_for(peer, now);
+        let known = inner.peers.get_mut(&peer.name);
+        let wanted = known.map(|known| std::mem::take(&mut known.wanted)).unwrap_or_default();
         let (leaving, store_lost) = (inner.leaving, inner.store_lost.is_some());
-        let mut live = BTreeSet::new();
-        if *region != self.vm.region && inner.peers.len() >= Self::MAX_MESH_VMS {
-            let near = || inner.live(now).filter(|vm| vm.region == self.vm.region);
-            let delegates = choose_delegates(near().chain([&self.vm]));
-            if delegates.iter().any(|vm| vm.name == self.vm.name) {
-                live = near().map(|vm| vm.name.clone()).collect();
-            }
-        }
-        VmHello { leaving, limits: Vec::new(), live, store_lost, vm: self.vm.clone() }
+        VmHello { leaving, live, reports, store_lost, wanted, ..VmHello::new(self.vm.clone()) }
     }
 
     /// Returns the hello for the VM at an address.
     pub fn hello_at(&self, peer: SocketAddr) -> VmHello {
-        let region = self.region_at(peer).unwrap_or_else(|| self.vm.region.clone());
-        self.hello_to(&region)
+        match self.vm_at(peer) {
+            Some(peer) => self.hello_to(&peer),
+            None => {
+                let inner = self.lock();
+                let (leaving, store_lost) = (inner.leaving, inner.store_lost.is_some());
+                VmHello { leaving, store_lost, ..VmHello::new(self.vm.clone()) }
+            }
+        }
     }
 
     /// Returns whether the VM at an address is in another region.
     pub fn is_remote(&self, peer: SocketAddr) -> bool {
-        self.region_at(peer).is_some_and(|region| region != self.vm.region)
+        self.vm_at(peer).is_some_and(|vm| vm.region != self.vm.region)
     }
 
-    fn region_at(&self, peer: SocketAddr) -> Option<RegionName> {
+    fn vm_at(&self, peer: SocketAddr) -> Option<VmRecord> {
         let inner = self.lock();
         let found = inner.peers.values().find(|known| known.vm.peers == peer);
-        found.map(|known| known.vm.region.clone())
+        found.map(|known| known.vm.clone())
+    }
+
+    /// Returns whether the next regular hello to a VM can be left out: it is a delegate of this VM's
+    /// zone, which sends hellos itself, and has just done so.
+    pub fn may_skip_hello(&self, peer: SocketAddr) -> bool {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        if !inner.is_large() || inner.is_zone_delegate(now) {
+            return false;
+        }
+        let tree = inner.tree(now);
+        let delegate = tree.zone_delegates(&self.vm.zone).iter().find(|vm| vm.peers == peer);
+        let delegate = delegate.and_then(|vm| inner.peers.get(&vm.name));
+        let heard_at = delegate.filter(|peer| peer.wanted.is_empty()).and_then(|peer| peer.seen_at);
+        heard_at.is_some_and(|at| now.duration_since(at) < Self::HEARD_TIME)
     }
 
     /// Removes this VM from all directories.
     pub fn leave(&self) {
-        self.lock().leaving = true;
+        let mut inner = self.lock();
+        inner.leaving = true;
+        inner.discard_tree();
     }
 
     /// Sets the seed addresses: VMs to send hellos to before their names are known.
@@ -171,25 +136,64 @@
         let mut inner = self.lock();
         let known = inner.peers.get(&vm.name);
         if known.is_none_or(|known| known.vm.incarnation < vm.incarnation) {
-            inner.peers.insert(vm.name.clone(), Peer::new(vm));
+            inner.peers.insert(vm.name.clone(), Peer::new(vm, Instant::now()));
+            inner.discard_tree();
         }
     }
 
-    /// Records that all registered VMs have been read.
-    pub fn set_registry_read(&self) {
-        self.lock().registry_read = true;
+    /// Records that all registered VMs have been read, and removes the others unless they are alive.
+    ///
+    /// ```
+    /// # use steer::{FleetView, VmRecord};
+    /// # let vm = |name: &str| VmRecord {
+    /// #     callers: "10.0.0.1:80".parse().unwrap(),
+    /// #     capacity: 200,
+    /// #     incarnation: 1,
+    /// #     name: name.into(),
+    /// #     peers: "10.0.0.1:81".parse().unwrap(),
+    /// #     region: "lisboa".into(),
+    /// #     zone: "lis-a".into(),
+    /// # };
+    /// let view = FleetView::new(vm("entry-1"));
+    /// view.add_registered(vm("entry-2"));
+    /// view.set_registry_read(&["entry-1".into()].into());
+    /// assert_eq!(view.known().len(), 1);
+    /// ```
+    pub fn set_registry_read(&self, registered: &BTreeSet<VmName>) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.registry_read = true;
+        let gone = inner.peers.values().filter(|peer| !registered.contains(&peer.vm.name));
+        let gone = gone.filter(|peer| !inner.is_live(peer, now));
+        let gone: Vec<VmName> = gone.map(|peer| peer.vm.name.clone()).collect();
+        for name in gone {
+            inner.peers.remove(&name);
+        }
+        inner.discard_tree();
+        drop(inner);
+        self.registry_read.send_replace(true);
     }
 
     /// Returns whether all registered VMs have been read since the start; until then this VM
     /// doesn't know how many VMs share a limit.
     pub fn is_registry_read(&self) -> bool {
-        self.lock().registry_read
+        *self.registry_read.borrow()
+    }
+
+    /// Waits until all registered VMs have been read since the start.
+    pub async fn wait_registry_read(&self) {
+        // The channel can't be closed, as `self` holds the sender.
+        let _ = self.registry_read.subscribe().wait_for(|read| *read).await;
     }
 
     /// Removes a VM that is no longer registered, unless it is alive.
     pub fn remove_registered(&self, name: &VmName) {
         let now = Instant::now();
-        self.lock().peers.retain(|known, peer| known != name || peer.is_live(now));
+        let mut inner = self.lock();
+        if inner.peers.get(name).is_some_and(|peer| !inner.is_live(peer, now)) {
+            inner.peers.remove(name);
+            inner.discard_tree();
+        }
     }
 
     /// Records a hello or a reply.
@@ -197,58 +201,89 @@
         if hello.vm.name == self.vm.name {
             return;
         }
+        let now = Instant::now();
         let mut inner = self.lock();
-        let name = hello.vm.name.clone();
-        let known = inner.peers.get(&name);
+        let known = inner.peers.get(&hello.vm.name);
         if known.is_some_and(|known| known.vm.incarnation > hello.vm.incarnation) {
             return;
         }
-        let now = Instant::now();
-        let store_lost =
-            if hello.store_lost { Some(now) } else { known.and_then(|known| known.store_lost) };
-        let reported_at = None;
-        for peer in inner.peers.values_mut() {
-            let reported = peer.vm.region == hello.vm.region && !hello.live.is_empty();
-            if reported {
-                peer.reported_at = hello.live.contains(&peer.vm.name).then_some(now);
-            }
+        let wanted = inner.record_reports(&hello, now);
+        let known = inner.peers.remove(&hello.vm.name);
+        let was_leaving = known.as_ref().is_some_and(|known| known.leaving);
+        let describe = |peer: &Peer| (peer.was_seen(now), peer.leaving, peer.store_lost);
+        let before = known.as_ref().map(describe);
+        let mut peer = Peer::after_hello(known, hello, now);
+        peer.wanted.extend(wanted);
+        let (after, is_leaving) = (describe(&peer), peer.leaving);
+        inner.peers.insert(peer.vm.name.clone(), peer);
+        if before != Some(after) {
+            inner.discard_tree();
+        }
+        drop(inner);
+        if is_leaving && !was_leaving {
+            self.news.send_replace(());
         }
-        let seen_at = Some(now);
-        let peer = Peer { leaving: hello.leaving, reported_at, seen_at, store_lost, vm: hello.vm };
-        inner.peers.insert(name, peer);
     }
 
-    /// Returns whether this VM reads the store itself: it is a delegate of its region, or the
-    /// region is small.
-    pub fn reads_store(&self) -> bool {
-        self.delegates().iter().any(|vm| vm.name == self.vm.name)
+    /// Returns a channel that changes when a VM begins to leave or refuses connections, and when this VM
+    /// loses the store, so that delegates report it before their next regular hello.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
     }
 
-    /// Returns whether delegates read the store for the other VMs of this region.
+    /// Returns whether this VM reports the live VMs of its zone to others.
+    pub fn is_zone_delegate(&self) -> bool {
+        let mut inner = self.lock();
+        inner.is_large() && inner.is_zone_delegate(Instant::now())
+    }
+
+    /// Returns the tree along which updates of the store are relayed.
+    pub fn tree(&self) -> Arc<RelayTree> {
+        self.lock().tree(Instant::now())
+    }
+
+    /// Returns the position of this VM in the tree.
+    pub fn role(&self) -> RelayRole {
+        self.tree().role()
+    }
+
+    /// Returns whether some VMs read the store for others, as far as this VM is concerned.
     pub fn has_delegates(&self) -> bool {
         let now = Instant::now();
         let inner = self.lock();
         // This VM belongs to the region too, but isn't among its own peers.
-        inner.live(now).filter(|vm| vm.region == self.vm.region).count() >= Self::MAX_DIRECT_VMS
+        let near = inner.live(now).filter(|vm| vm.region == self.vm.region).count();
+        inner.is_large() || near >= RelayTree::MAX_DIRECT_VMS
     }
 
-    /// Returns the VMs of this region that read the store for the others; in a small region, all of
-    /// them.
-    pub fn delegates(&self) -> Vec<VmRecord> {
+    /// Returns whether the VMs above this one in the tree are live and have reported that they can't
+    /// reach the store.
+    pub fn upstreams_lost_store(&self) -> bool {
         let now = Instant::now();
-        let inner = self.lock();
-        let own = (!inner.leaving).then_some(&self.vm);
-        let near = inner.live(now).filter(|vm| vm.region == self.vm.region).chain(own);
-        let near: Vec<&VmRecord> = near.collect();
-        if near.len() <= Self::MAX_DIRECT_VMS {
-            return near.into_iter().cloned().collect();
+        let mut inner = self.lock();
+        let tree = inner.tree(now);
+        let upstreams = inner
+            .peers
+            .values()
+            .filter(|peer| tree.upstreams().contains(&peer.vm.peers) && peer.was_seen(now));
+        let (mut heard, mut lost) = (0, 0);
+        for peer in upstreams {
+            heard += 1;
+            lost += u32::from(peer.store_lost);
         }
-        choose_delegates(near.into_iter()).into_iter().cloned().collect()
+        heard > 0 && lost == heard
     }
 
     /// Records that this VM can't reach the store.
     pub fn record_store_lost(&self) {
-        self.lock().store_lost.get_or_insert_with(Instant::now);
+        let mut inner = self.lock();
+        let is_news = inner.store_lost.is_none();
+        inner.store_lost.get_or_insert_with(Instant::now);
+        inner.discard_tree();
+        drop(inner);
+        if is_news {
+            self.news.send_replace(());
+        }
     }
 
     /// Records that this VM reaches the store again, and returns whether the store itself was down:
@@ -256,43 +291,70 @@
     pub fn record_store_recovered(&self) -> bool {
         let mut inner = self.lock();
         let Some(since) = inner.store_lost.take() else { return false };
+        inner.discard_tree();
         let since_loss = |at: Option<Instant>| at.is_some_and(|at| at >= since);
-        let lost = inner.peers.values().filter(|peer| since_loss(peer.store_lost)).count();
+        let lost = inner.peers.values().filter(|peer| since_loss(peer.lost_at)).count();
         let seen = inner.peers.values().filter(|peer| since_loss(peer.seen_at)).count();
         2 * lost > seen
     }
 
     /// Records that the VM at an address refuses connections.
     pub fn record_refused(&self, address: SocketAddr) {
-        for peer in self.lock().peers.values_mut().filter(|peer| peer.vm.peers == address) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let mut was_live = false;
+        for peer in inner.peers.values_mut().filter(|peer| peer.vm.peers == address) {
+            was_live |= peer.was_seen(now);
+            peer.refused_at = Some(now);
             peer.seen_at = None;
-            peer.reported_at = None;
+            peer.sent.clear();
+        }
+        inner.discard_tree();
+        drop(inner);
+        if was_live {
+            self.news.send_replace(());
         }
     }
 
-    /// Returns the addresses of the VMs to send hellos to: all of a small fleet; otherwise those of
-    /// this VM's region, the delegates of the other regions, and seeds whose VMs aren't known yet.
+    /// Records that the VM at an address did not reply to a hello, which it may not have received.
+    pub fn record_no_reply(&self, address: SocketAddr) {
+        for peer in self.lock().peers.values_mut().filter(|peer| peer.vm.peers == address) {
+            peer.sent.clear();
+        }
+    }
+
+    /// Returns the addresses of the VMs to send hellos to: all of a small fleet; otherwise those for
+    /// which this VM is a delegate, its own delegates, and seeds whose VMs aren't known yet.
     pub fn hello_peers(&self) -> BTreeSet<SocketAddr> {
         let now = Instant::now();
-        let inner = self.lock();
-        let all = || inner.peers.values().map(|peer| &peer.vm);
-        if inner.peers.len() < Self::MAX_MESH_VMS {
-            return all().map(|vm| vm.peers).chain(inner.seeds.iter().copied()).collect();
+        let mut inner = self.lock();
+        if !inner.is_large() {
+            let all = inner.peers.values().map(|peer| peer.vm.peers);
+            return all.chain(inner.seeds.iter().copied()).collect();
         }
+        let (tree, is_region_delegate) = (inner.tree(now), inner.is_region_delegate(now));
+        let is_zone_delegate = inner.is_zone_delegate(now);
+        let all = || inner.peers.values().map(|peer| &peer.vm);
+        let near = || inner.peers.values().filter(|peer| peer.vm.region == self.vm.region);
         let known: BTreeSet<SocketAddr> = all().map(|vm| vm.peers).collect();
         let mut found: BTreeSet<SocketAddr> = inner.seeds.difference(&known).copied().collect();
-        found.extend(all().filter(|vm| vm.region == self.vm.region).map(|vm| vm.peers));
-        let regions: BTreeSet<&RegionName> = all().map(|vm| &vm.region).collect();
-        for region in regions.into_iter().filter(|region| **region != self.vm.region) {
-            let live: Vec<_> = inner.live(now).filter(|vm| vm.region == *region).collect();
-            let known = all().filter(|vm| vm.region == *region);
-            let chosen = if live.is_empty() {
-                choose_delegates(known)
-            } else {
-                choose_delegates(live.into_iter())
-            };
-            found.extend(chosen.into_iter().map(|vm| vm.peers));
+        // VMs that can't read reports learn of others, and are reported to others, only by hellos.
+        if near().any(|peer| !peer.reads_reports && inner.is_live(peer, now)) {
+            found.extend(near().map(|peer| peer.vm.peers));
+        }
+        let mut add = |vms: &[VmRecord]| found.extend(vms.iter().map(|vm| vm.peers));
+        add(tree.zone_delegates(&self.vm.zone));
+        if is_zone_delegate {
+            let zones: BTreeSet<_> = near().map(|peer| &peer.vm.zone).collect();
+            zones.into_iter().for_each(|zone| add(tree.zone_delegates(zone)));
+            found.extend(all().filter(|vm| vm.zone == self.vm.zone).map(|vm| vm.peers));
         }
+        if is_region_delegate {
+            let regions: BTreeSet<_> = all().map(|vm| &vm.region).collect();
+            let mut add = |vms: &[VmRecord]| found.extend(vms.iter().map(|vm| vm.peers));
+            regions.into_iter().for_each(|region| add(tree.region_delegates(region)));
+        }
+        found.remove(&self.vm.peers);
         found
     }
 
@@ -317,10 +379,16 @@
         let own = (!inner.leaving).then_some(&self.vm);
         let live: Vec<&VmRecord> = inner.live(now).chain(own).collect();
         let find = |fits: &dyn Fn(&AvailabilityZoneName, &RegionName) -> bool| {
-            let fit = live.iter().filter(|vm| fits(&vm.zone, &vm.region));
-            let mut found: Vec<SocketAddr> = fit.map(|vm| vm.callers).collect();
-            found.truncate(Self::MAX_ADDRESSES);
-            found
+            let mut fit: Vec<_> = live.iter().filter(|vm| fits(&vm.zone, &vm.region)).collect();
+            if fit.len() > Self::MAX_ADDRESSES {
+                // Each VM names others, so that the callers of a lost zone spread over the region.
+                let hash = ObjectHash::new("callers", self.vm.name.as_str().as_bytes());
+                fit.sort_by_cached_key(|vm| {
+                    (hash.rank(vm.name.as_str()) * f64::from(u32::MAX)) as u32
+                });
+                fit.truncate(Self::MAX_ADDRESSES);
+            }
+            fit.into_iter().map(|vm| vm.callers).collect::<Vec<SocketAddr>>()
         };
         let in_zone = find(&|z, _| z.as_str() == zone);
         if !in_zone.is_empty() {
--- a/crates/steer/src/flows/followers.rs
+++ b/crates/steer/src/flows/followers.rs
@@ -258,8 +258,9 @@
         for (name, reason) in &listing.unreadable {
             self.router.record_unreadable(self.name(), name, reason);
         }
+        let registered = listing.items.values().map(|vm| vm.name.clone()).collect();
         listing.items.into_values().for_each(|vm| self.router.fleet().add_registered(vm));
-        self.router.fleet().set_registry_read();
+        self.router.fleet().set_registry_read(&registered);
         self.router.target_table().set_vms(self.router.fleet().known());
     }
 }
--- a/crates/steer/src/flows/mod.rs
+++ b/crates/steer/src/flows/mod.rs
@@ -10,8 +10,8 @@
 mod followers;
 mod forward_request;
 mod lease_slot;
-mod poll_delegates;
 mod poll_targets;
+mod poll_upstreams;
 mod recorded_body;
 mod refusal;
 mod renew_shares;
@@ -38,8 +38,8 @@
     follow_registry::{FollowTiming, Follower, StoreRecoveries, follow_registry},
     followers::{ConfigurationFollower, EvacuationFollower, TargetFollower, VmFollower},
     forward_request::forward_request,
-    poll_delegates::poll_delegates,
     poll_targets::poll_targets,
+    poll_upstreams::poll_upstreams,
     refusal::Refusal,
     renew_shares::renew_shares,
     renew_slot_leases::renew_slot_leases,
--- a/crates/steer/src/flows/send_hellos.rs
+++ b/crates/steer/src/flows/send_hellos.rs
@@ -1,6 +1,6 @@
 //! Exchanges hellos with the other entry VMs, one task for each.
 
-use crate::{HelloPeers, PeerError, Router, VmHello, VmState};
+use crate::{FleetView, HelloPeers, PeerError, Router, VmHello, VmState};
 use slog::info;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -9,12 +9,12 @@
     time::{sleep, timeout},
 };
 
-/// Time between two hellos to a peer.
-const HELLO_PERIOD: Duration = Duration::from_millis(700);
 /// Time between two hellos to a peer in another region; these also report a region's live VMs.
 const REMOTE_HELLO_PERIOD: Duration = Duration::from_millis(2_100);
 /// Timeout of a hello: covers a round trip between regions and a pause of the peer.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a delegate collects news before it tells them.
+const NEWS_DELAY: Duration = Duration::from_millis(100);
 
 /// Sends hellos to all known VMs for the life of the process, and at once when this VM's state
 /// changes, such as when it leaves.
@@ -42,7 +42,7 @@
         if router.fleet().is_registry_read() {
             router.target_table().set_vms(router.fleet().known());
         }
-        sleep(HELLO_PERIOD).await;
+        sleep(FleetView::HELLO_PERIOD).await;
     }
 }
 
@@ -54,19 +54,28 @@
     mut state: watch::Receiver<VmState>,
 ) {
     let mut replying = false;
+    let mut news = router.fleet().news();
+    let mut is_regular = false;
     loop {
-        let hello = router.hello_at(peer);
-        let reply = timeout(REPLY_TIMEOUT, peers.send_hello(peer, &hello)).await;
-        let replied = record_reply(&router, peer, reply.ok());
-        if replied != replying {
-            replying = replied;
-            let text = if replying { "fleet: VM answers" } else { "fleet: VM lost" };
-            info!(router.log(), "{text}"; "peer" => %peer);
+        if !is_regular || !router.fleet().may_skip_hello(peer) {
+            let hello = router.hello_at(peer);
+            let reply = timeout(REPLY_TIMEOUT, peers.send_hello(peer, &hello)).await;
+            let replied = record_reply(&router, peer, reply.ok());
+            if replied != replying {
+                replying = replied;
+                let text = if replying { "fleet: VM answers" } else { "fleet: VM lost" };
+                info!(router.log(), "{text}"; "peer" => %peer);
+            }
         }
         let remote = router.fleet().is_remote(peer);
+        is_regular = true;
         tokio::select! {
-            () = sleep(if remote { REMOTE_HELLO_PERIOD } else { HELLO_PERIOD }) => {}
-            Ok(()) = state.changed() => {}
+            () = sleep(if remote { REMOTE_HELLO_PERIOD } else { FleetView::HELLO_PERIOD }) => {}
+            Ok(()) = state.changed() => is_regular = false,
+            Ok(()) = news.changed(), if !remote && router.fleet().is_zone_delegate() => {
+                sleep(NEWS_DELAY).await;
+                news.mark_unchanged();
+            }
         }
     }
 }
@@ -82,11 +91,14 @@
             router.record_hello(hello);
             true
         }
+        // A single timeout changes nothing: the VM counts as lost after a longer silence.
+        Some(Err(PeerError::NoReply)) | None => {
+            router.fleet().record_no_reply(peer);
+            false
+        }
         Some(Err(_)) => {
             router.fleet().record_refused(peer);
             false
         }
-        // A single timeout changes nothing: the VM counts as lost after a longer silence.
-        None => false,
     }
 }
--- a/crates/steer/src/forwarding/router.rs
+++ b/crates/steer/src/forwarding/router.rs
@@ -2,7 +2,7 @@
 
 use super::{RequestLog, RouterParts, RouterPorts};
 use crate::{
-    FleetView, RegionName, RetryBudget, RouteTable, ServiceName, TargetTable, VmHello, VmState,
+    FleetView, RetryBudget, RouteTable, ServiceName, TargetTable, VmHello, VmRecord, VmState,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -60,9 +60,9 @@
         &self.fleet
     }
 
-    /// Returns the hello for a VM in a region, with the latest news of targets.
-    pub fn hello_to(&self, region: &RegionName) -> VmHello {
-        VmHello { limits: self.table.limit_news(), ..self.fleet.hello_to(region) }
+    /// Returns the hello for a VM, with the latest news of targets.
+    pub fn hello_to(&self, peer: &VmRecord) -> VmHello {
+        VmHello { limits: self.table.limit_news(), ..self.fleet.hello_to(peer) }
     }
 
     /// Returns the hello for the VM at an address, with the latest news of targets.
--- a/crates/steer/src/ports/object_source.rs
+++ b/crates/steer/src/ports/object_source.rs
@@ -68,9 +68,14 @@
 /// Request to a peer for the changes of each kind after a revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct UpdateQuery {
+    /// Time since the store confirmed what the sender has, by kind. The reply is held back until there
+    /// are changes or a later confirmation.
+    pub ages: BTreeMap<Arc<str>, Duration>,
+    /// Whether the sender requests long lists in pages.
+    pub pages: bool,
     /// Whether the sender requests the texts of large objects in parts.
     pub parts: bool,
-    /// Revision that the sender has, by kind.
+    /// Revision that the sender has, by kind; 0 if it has no objects yet.
     pub revisions: BTreeMap<Arc<str>, u64>,
     /// Maximum wait for changes.
     pub wait: Duration,
@@ -88,6 +93,31 @@
     pub batch: ObjectBatch,
     /// Changed objects that the batch lacks, because their texts are requested in parts.
     pub large: Vec<LargeObject>,
+    /// Name of the last object of the batch, if the list goes on in further pages.
+    pub more_after: Option<Arc<str>>,
+}
+
+impl KindUpdate {
+    /// Maximum size in bytes of the objects in a page. It crosses a link of 20 Mbit/s in 100 ms.
+    pub const PAGE_SIZE: usize = 256 << 10;
+}
+
+/// Request to a peer for the objects of a kind that follow a name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PageQuery {
+    /// Name of the last object that the sender has received.
+    pub after: Arc<str>,
+    /// Kind of the objects.
+    pub kind: Arc<str>,
+}
+
+/// Some of the objects of a kind in the order of their names.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ObjectPage {
+    /// The objects.
+    pub objects: Vec<RawObject>,
+    /// Name of the last object, if there are more.
+    pub more_after: Option<Arc<str>>,
 }
 
 /// A version of an object whose text is requested in parts.
@@ -155,4 +185,15 @@
     ///
     /// Returns an error if the peer can't be reached or doesn't have this version of the object.
     async fn fetch_part(&self, peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError>;
+
+    /// Requests a page of a list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer can't be reached or has no objects of the kind.
+    async fn fetch_page(
+        &self,
+        peer: SocketAddr,
+        query: &PageQuery,
+    ) -> Result<ObjectPage, PeerError>;
 }
--- a/crates/steer/src/ports/peers.rs
+++ b/crates/steer/src/ports/peers.rs
@@ -163,6 +163,8 @@
 pub enum PeerError {
     /// invalid reply from the peer: {0}
     Invalid(String),
+    /// the peer did not reply in time
+    NoReply,
     /// the peer refused the message: {0}
     Refused(String),
     /// the peer can't be reached: {0}
--- a/crates/steer/src/relay/change_log.rs
+++ b/crates/steer/src/relay/change_log.rs
@@ -1,8 +1,9 @@
 //! The objects of one kind and their latest changes.
 
-use crate::{KindUpdate, ObjectBatch, RawObject};
+use crate::{KindUpdate, ObjectBatch, ObjectPage, RawObject};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::Bound,
     sync::Arc,
     time::Duration,
 };
@@ -144,7 +145,35 @@
             Some(batch) => (false, batch),
             None => (true, self.all()),
         };
-        KindUpdate { age: now.duration_since(self.read_at), full, batch, large: Vec::new() }
+        let age = now.duration_since(self.read_at);
+        KindUpdate { age, full, batch, large: Vec::new(), more_after: None }
+    }
+
+    /// Returns the objects after a name, up to a size in bytes; `None` stands for the first page.
+    ///
+    /// ```
+    /// use steer::{ChangeLog, ObjectBatch, RawObject};
+    /// let object = |name: &str| RawObject { deleted: false, name: name.into(), text: "{}".into() };
+    /// let batch = ObjectBatch::new(vec![object("a"), object("b")], 4);
+    /// let log = ChangeLog::new(batch, Default::default(), tokio::time::Instant::now());
+    /// let page = log.page(None, 1);
+    /// assert_eq!((page.objects.len(), page.more_after.as_deref()), (1, Some("a")));
+    /// assert_eq!(log.page(Some("a"), 1).more_after, None);
+    /// ```
+    pub fn page(&self, after: Option<&str>, max_bytes: usize) -> ObjectPage {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = self.objects.range::<str, _>((from, Bound::Unbounded)).peekable();
+        let (mut page, mut bytes) = (ObjectPage::default(), 0);
+        while bytes < max_bytes
+            && let Some((name, text)) = rest.next()
+        {
+            bytes += name.len() + text.len();
+            let (name, text) = (Arc::clone(name), Arc::clone(text));
+            page.objects.push(RawObject { deleted: false, name, text });
+        }
+        let last = page.objects.last().filter(|_| rest.peek().is_some());
+        page.more_after = last.map(|object| Arc::clone(&object.name));
+        page
     }
 
     /// Returns the age and source of the objects.
@@ -160,9 +189,14 @@
         Freshness { age, relayed: self.relayed, revision: self.revision }
     }
 
-    /// Returns the age from which the objects are stale.
-    pub fn max_age(&self) -> Duration {
-        self.max_age
+    /// Sets the age from which the objects are stale.
+    pub fn set_max_age(&mut self, max_age: Duration) {
+        self.max_age = max_age;
+    }
+
+    /// Returns whether a peer relayed the last confirmation.
+    pub fn is_relayed(&self) -> bool {
+        self.relayed
     }
 
     /// Returns the time until which the objects are fresh.
--- a/crates/steer/src/relay/relayed_source.rs
+++ b/crates/steer/src/relay/relayed_source.rs
@@ -1,7 +1,7 @@
-//! Source of objects that reads the store or the updates that delegates relay.
+//! Source of objects that reads the store or the updates that other VMs relay.
 
-use super::ObjectCache;
-use crate::{ObjectBatch, ObjectSource, RegistryError, Router};
+use super::{ObjectCache, RelayTiming, StoreGate};
+use crate::{ObjectBatch, ObjectSource, RegistryError, RelayRole, Router};
 use async_trait::async_trait;
 use std::{
     fmt::{self, Debug, Formatter},
@@ -11,38 +11,49 @@
     },
     time::Duration,
 };
-use tokio::time::Instant;
-
-/// Limits on the delay of relayed objects behind the store.
-#[derive(Clone, Copy, Debug)]
-pub struct RelayLimits {
-    /// Maximum age at which relayed objects are used. It covers the wait of a delegate's call to
-    /// the store, the wait of a peer's call to the delegate, and the round trips.
-    pub max_age: Duration,
-    /// Maximum wait of a delegate's call to the store.
-    pub wait: Duration,
-}
+use tokio::time::{Instant, sleep, timeout};
 
-/// Reads the store if this VM is a delegate of its region or the relayed objects are not fresh;
-/// otherwise waits for the delegates' updates.
+/// Reads the store if this VM is its reader or the relayed objects are not fresh; otherwise waits for
+/// the updates of other VMs.
 pub struct RelayedSource {
     cache: Arc<ObjectCache>,
-    limits: RelayLimits,
-    /// Whether the last update came from a delegate.
+    gate: Arc<StoreGate>,
+    /// Whether the last update was relayed.
     relayed: AtomicBool,
     router: Arc<Router>,
+    /// Time for which a VM that has just started waits for the objects from other VMs.
+    start_wait: Duration,
     store: Arc<dyn ObjectSource>,
+    timing: RelayTiming,
 }
 
 impl RelayedSource {
+    /// Time for which a VM that has just started waits for other VMs. It covers the start of all VMs
+    /// at one moment, in which the objects pass down the whole tree.
+    pub const START_WAIT: Duration = Duration::from_millis(2_500);
+
     /// Creates a source that reads a store, or a cache that is filled from peers.
     pub fn new(
         router: Arc<Router>,
         cache: Arc<ObjectCache>,
-        limits: RelayLimits,
+        timing: RelayTiming,
         store: Arc<dyn ObjectSource>,
     ) -> Self {
-        Self { cache, limits, relayed: AtomicBool::new(false), router, store }
+        let (relayed, start_wait) = (AtomicBool::new(false), Duration::ZERO);
+        let gate = Arc::new(StoreGate::new(&router.fleet().vm().name));
+        Self { cache, gate, relayed, router, start_wait, store, timing }
+    }
+
+    /// Sets the gate for calls to the store, which the sources of all kinds share.
+    pub fn with_gate(mut self, gate: Arc<StoreGate>) -> Self {
+        self.gate = gate;
+        self
+    }
+
+    /// Sets the time for which the first list is awaited from other VMs.
+    pub fn with_start_wait(mut self, wait: Duration) -> Self {
+        self.start_wait = wait;
+        self
     }
 
     /// Counts a call to the store, its failure, and objects without a usable name.
@@ -64,6 +75,34 @@
         result
     }
 
+    /// Returns the position of this VM in the relay tree, and applies its limits to a kind.
+    fn follow(&self, kind: &str) -> RelayRole {
+        let role = self.router.fleet().role();
+        self.cache.follow(kind, self.timing.max_age(role));
+        role
+    }
+
+    /// Waits for the first list of a kind from other VMs, unless this VM turns out to be the reader.
+    async fn wait_for_peers(&self, kind: &str) {
+        let learn_role = async {
+            self.router.fleet().wait_registry_read().await;
+            while self.follow(kind) != RelayRole::Reader {
+                sleep(Self::ROLE_PERIOD).await;
+            }
+        };
+        let wait = async {
+            tokio::select! {
+                () = learn_role => {}
+                () = self.cache.wait_fresh(kind) => {}
+            }
+        };
+        // After a timeout the store is read.
+        let _ = timeout(self.start_wait, wait).await;
+    }
+
+    /// Interval at which a VM that waits for its first list checks its position in the tree.
+    const ROLE_PERIOD: Duration = Duration::from_millis(100);
+
     async fn watch_store(
         &self,
         kind: &'static str,
@@ -71,14 +110,32 @@
         wait: Duration,
     ) -> Result<ObjectBatch, RegistryError> {
         let has_delegates = self.router.fleet().has_delegates();
-        let wait = if has_delegates { wait.min(self.limits.wait) } else { wait };
+        let wait = if has_delegates { wait.min(self.timing.wait) } else { wait };
         let batch = self.count_call(kind, self.store.watch(kind, revision, wait).await)?;
         self.cache.extend(kind, revision, batch.clone(), Instant::now());
         Ok(batch)
     }
+
+    /// Reads the store in place of the VMs above, if that has a prospect of success.
+    async fn replace_upstreams(
+        &self,
+        kind: &'static str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<ObjectBatch, RegistryError> {
+        let is_lost = self.router.fleet().upstreams_lost_store();
+        if !self.gate.try_acquire(Instant::now(), is_lost) {
+            let reason = "calls are held back after failures".to_owned();
+            return Err(RegistryError::Lost { reason });
+        }
+        let result = self.watch_store(kind, revision, wait).await;
+        let is_answer = matches!(&result, Ok(_) | Err(RegistryError::Expired));
+        self.gate.record(Instant::now(), is_answer);
+        result.map_err(to_lost)
+    }
 }
 
-/// Turns a failure of the store into `Lost`, for use when no delegate has fresh objects either.
+/// Turns a failure of the store into `Lost`, for use when no other VM has fresh objects either.
 fn to_lost(error: RegistryError) -> RegistryError {
     match error {
         RegistryError::Unavailable { reason } => RegistryError::Lost { reason },
@@ -89,13 +146,16 @@
 #[async_trait]
 impl ObjectSource for RelayedSource {
     async fn list(&self, kind: &'static str) -> Result<ObjectBatch, RegistryError> {
-        if !self.router.fleet().reads_store()
+        self.follow(kind);
+        self.wait_for_peers(kind).await;
+        if self.follow(kind) != RelayRole::Reader
             && let Some(all) = self.cache.all(kind)
         {
             return Ok(all);
         }
         let all = self.count_call(kind, self.store.list(kind).await)?;
-        self.cache.replace(kind, all.clone(), self.limits.max_age, Instant::now());
+        let max_age = self.timing.max_age(self.router.fleet().role());
+        self.cache.replace(kind, all.clone(), max_age, Instant::now());
         Ok(all)
     }
 
@@ -107,20 +167,21 @@
     ) -> Result<ObjectBatch, RegistryError> {
         let until = Instant::now() + wait;
         loop {
-            if self.router.fleet().reads_store() {
+            if self.follow(kind) == RelayRole::Reader {
                 return self.watch_store(kind, revision, wait).await;
             }
             if let Some(batch) = self.cache.watch(kind, revision, until).await {
                 self.relayed.store(true, Ordering::Relaxed);
+                self.gate.reset();
                 return batch.ok_or(RegistryError::Expired);
             }
-            // If updates from the delegates have just stopped, the store may have failed for them:
-            // poll it without a wait to detect that immediately.
+            // If updates have just stopped, the store may have failed for the other VMs: poll it
+            // without a wait to detect that immediately.
             let stopped = self.relayed.swap(false, Ordering::Relaxed);
             let wait = if stopped { Duration::ZERO } else { wait };
             tokio::select! {
-                batch = self.watch_store(kind, revision, wait) => return batch.map_err(to_lost),
-                () = self.cache.wait_fresh(kind) => {}
+                batch = self.replace_upstreams(kind, revision, wait) => return batch,
+                () = self.cache.wait_relayed(kind) => {}
             }
         }
     }
@@ -128,6 +189,6 @@
 
 impl Debug for RelayedSource {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.debug_struct("RelayedSource").field("limits", &self.limits).finish_non_exhaustive()
+        f.debug_struct("RelayedSource").field("timing", &self.timing).finish_non_exhaustive()
     }
 }
--- a/crates/steer/tests/following.rs
+++ b/crates/steer/tests/following.rs
@@ -9,7 +9,7 @@
 use routers::{EmptyTargets, router_of, vm};
 use slog::{Discard, Logger, o};
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     future::pending,
     sync::{Arc, Mutex},
     time::Duration,
@@ -98,13 +98,8 @@
     for ms in at {
         while start.elapsed() < Duration::from_millis(*ms) {
             for name in ["entry-2", "entry-3"] {
-                let hello = VmHello {
-                    leaving: false,
-                    limits: Vec::new(),
-                    live: BTreeSet::new(),
-                    store_lost: others_lost,
-                    vm: vm(name, 2, "lis-a", "lisboa"),
-                };
+                let hello = VmHello::new(vm(name, 2, "lis-a", "lisboa"));
+                let hello = VmHello { store_lost: others_lost, ..hello };
                 router.fleet().record_hello(hello);
             }
             sleep(Duration::from_millis(50)).await;
--- a/crates/steer/tests/object_transfers.rs
+++ b/crates/steer/tests/object_transfers.rs
@@ -36,7 +36,7 @@
 }
 
 fn query(cache: &ObjectCache) -> UpdateQuery {
-    UpdateQuery { parts: true, revisions: cache.revisions(), wait: Duration::ZERO }
+    cache.query(Duration::ZERO)
 }
 
 /// Polls a delegate once, and requests the next part if one is pending.
@@ -94,7 +94,7 @@
         poll(&own, &mut transfers, &delegate).await;
         sleep(Duration::from_millis(50)).await;
         if revision % 10 == 1 {
-            let known = own.revisions()[KIND];
+            let known = own.query(Duration::ZERO).revisions[KIND];
             writeln!(table, "store at {revision}, known {known}").unwrap();
         }
     }
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -15,9 +15,9 @@
     time::Duration,
 };
 use steer::{
-    ChangeLog, KindUpdate, ObjectBatch, ObjectCache, ObjectSource, PartQuery, PeerError, RawObject,
-    RegistryError, RelayLimits, RelayedSource, Router, UpdatePeers, UpdateQuery, UpdateReply,
-    VmHello, poll_delegates,
+    ChangeLog, KindUpdate, ObjectBatch, ObjectCache, ObjectPage, ObjectSource, PageQuery,
+    PartQuery, PeerError, RawObject, RegistryError, RelayTiming, RelayedSource, Router,
+    UpdatePeers, UpdateQuery, UpdateReply, VmHello, poll_upstreams,
 };
 use tokio::{
     sync::watch,
@@ -25,8 +25,10 @@
 };
 
 const KIND: &str = "targets";
-const LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(1_900), wait: Duration::from_secs(1) };
+/// Time within which a change must take effect.
+const LIMIT: Duration = Duration::from_secs(3);
+const MAX_AGE: Duration = Duration::from_millis(1_900);
+const POLL_WAIT: Duration = Duration::from_millis(700);
 const RUNS: u64 = 300;
 
 fn put(name: &str, text: &str) -> RawObject {
@@ -90,24 +92,32 @@
         _peer: SocketAddr,
         query: &UpdateQuery,
     ) -> Result<UpdateReply, PeerError> {
+        sleep(Duration::from_millis(5)).await;
+        let reply = self.cache.answer(query).await;
         if *self.silent.borrow() {
             sleep(Duration::from_secs(60)).await;
         }
-        sleep(Duration::from_millis(5)).await;
-        Ok(self.cache.answer(query).await)
+        Ok(reply)
     }
 
     async fn fetch_part(&self, _peer: SocketAddr, query: &PartQuery) -> Result<String, PeerError> {
         self.cache.part(query).ok_or_else(|| PeerError::Refused("no such version".to_owned()))
     }
+
+    async fn fetch_page(
+        &self,
+        _peer: SocketAddr,
+        query: &PageQuery,
+    ) -> Result<ObjectPage, PeerError> {
+        self.cache.page(query).ok_or_else(|| PeerError::Refused("no objects".to_owned()))
+    }
 }
 
 fn send_hellos(router: &Router, count: u8) {
     for number in 2..=count {
         let mut vm = vm(&format!("entry-{number}"), number, "lis-a", "lisboa");
         vm.capacity = 500;
-        let (leaving, limits, live) = (false, Vec::new(), BTreeSet::new());
-        router.record_hello(VmHello { leaving, limits, live, store_lost: false, vm });
+        router.record_hello(VmHello::new(vm));
     }
 }
 
@@ -122,16 +132,19 @@
     fn start(count: u8) -> Self {
         let own = vm("entry-1", 1, "lis-a", "lisboa");
         let router = Arc::new(router_of(own, Arc::new(EmptyTargets)));
+        router.fleet().set_registry_read(&BTreeSet::new());
         let store = RevisionStore::new();
         let cache = ObjectCache::new();
         let delegate = Arc::new(Delegate { cache, silent: watch::Sender::new(false) });
         let (reader, cache) = (Arc::clone(&store), Arc::clone(&delegate.cache));
         tokio::spawn(async move {
             let mut revision = 5;
-            cache.replace(KIND, reader.batch(), LIMITS.max_age, Instant::now());
+            cache.replace(KIND, reader.batch(), MAX_AGE, Instant::now());
             loop {
                 // Only calls from the VM under test are counted, so subtract the delegate's.
-                if let Ok(batch) = reader.watch(KIND, revision, LIMITS.wait).await {
+                if let Ok(batch) =
+                    reader.watch(KIND, revision, RelayTiming::within(LIMIT).wait).await
+                {
                     let since = std::mem::replace(&mut revision, batch.revision);
                     cache.extend(KIND, since, batch, Instant::now());
                 }
@@ -155,8 +168,9 @@
         let cache = ObjectCache::new();
         let store = Arc::clone(&self.store) as Arc<dyn ObjectSource>;
         let (router, peers) = (Arc::clone(&self.router), Arc::clone(&self.delegate) as _);
-        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), LIMITS, store);
-        tokio::spawn(poll_delegates(router, cache, peers));
+        let timing = RelayTiming::within(LIMIT);
+        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), timing, store);
+        tokio::spawn(poll_upstreams(router, cache, peers, POLL_WAIT));
         let start = Instant::now();
         let mut seen = String::new();
         let follow = async {
@@ -242,9 +256,10 @@
         let store = Arc::clone(&fixture.store) as Arc<dyn ObjectSource>;
         let cache = ObjectCache::new();
         let router = Arc::clone(&fixture.router);
-        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), LIMITS, store);
+        let timing = RelayTiming::within(LIMIT);
+        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), timing, store);
         let peers = Arc::clone(&fixture.delegate) as _;
-        tokio::spawn(poll_delegates(router, cache, peers));
+        tokio::spawn(poll_upstreams(router, cache, peers, POLL_WAIT));
         sleep(Duration::from_secs(1)).await;
         let revision = source.list(KIND).await.unwrap().revision;
         for _ in 0..3 {
@@ -290,7 +305,7 @@
 /// Checks a log, and a peer that polls it after some of the batches, against a plain map.
 fn check_history(history: &[ObjectChange], batches: &[u8], polls: &[bool]) {
     let now = Instant::now();
-    let mut log = ChangeLog::new(ObjectBatch::new(vec![put("0", "first")], 1), LIMITS.max_age, now);
+    let mut log = ChangeLog::new(ObjectBatch::new(vec![put("0", "first")], 1), MAX_AGE, now);
     let (mut expected, mut peer) = (BTreeMap::new(), BTreeMap::new());
     apply(&mut expected, &log.all());
     let (mut revision, mut peer_revision, mut history) = (1, 0, history.iter());
@@ -333,7 +348,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_peer_older_than_the_kept_changes_gets_all_objects() {
     let now = Instant::now();
-    let mut log = ChangeLog::new(ObjectBatch::new(Vec::new(), 1), LIMITS.max_age, now);
+    let mut log = ChangeLog::new(ObjectBatch::new(Vec::new(), 1), MAX_AGE, now);
     let most = ChangeLog::MAX_CHANGES as u64;
     for revision in 2..most + 10 {
         let text = revision.to_string();
@@ -348,7 +363,7 @@
 #[tokio::test(start_paused = true)]
 async fn replaced_versions_of_a_large_object_are_not_kept() {
     let now = Instant::now();
-    let mut log = ChangeLog::new(ObjectBatch::new(Vec::new(), 1), LIMITS.max_age, now);
+    let mut log = ChangeLog::new(ObjectBatch::new(Vec::new(), 1), MAX_AGE, now);
     let text: Arc<str> = "x".repeat(100_000).into();
     for revision in 2..42 {
         let object = RawObject { deleted: revision == 41, name: "a".into(), text: text.clone() };
@@ -363,7 +378,7 @@
 #[tokio::test(start_paused = true)]
 async fn changes_after_a_gap_are_ignored() {
     let now = Instant::now();
-    let mut log = ChangeLog::new(ObjectBatch::new(vec![put("a", "4")], 4), LIMITS.max_age, now);
+    let mut log = ChangeLog::new(ObjectBatch::new(vec![put("a", "4")], 4), MAX_AGE, now);
     assert!(!log.extend(6, ObjectBatch::new(vec![put("a", "7")], 7), now));
     assert!(!log.extend(2, ObjectBatch::new(vec![put("a", "3")], 3), now));
     assert_eq!(log.revision(), 4);
@@ -378,7 +393,7 @@
         let known: Vec<_> = cache.freshness().into_values().collect();
         writeln!(table, "{text}: {known:?}").unwrap();
     };
-    cache.replace(KIND, ObjectBatch::new(vec![put("a", "4")], 4), LIMITS.max_age, Instant::now());
+    cache.replace(KIND, ObjectBatch::new(vec![put("a", "4")], 4), MAX_AGE, Instant::now());
     describe("listed from the store");
     sleep(Duration::from_millis(700)).await;
     describe("later");
@@ -387,8 +402,9 @@
         full: false,
         batch: ObjectBatch::new(vec![put("a", "6")], 6),
         large: Vec::new(),
+        more_after: None,
     };
-    let query = UpdateQuery { parts: false, revisions: cache.revisions(), wait: Duration::ZERO };
+    let query = cache.query(Duration::ZERO);
     cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(300))]));
     describe("relayed after 300 ms");
     cache.apply_reply(&query, UpdateReply::from([(KIND.into(), update(500))]));
--- a/crates/steer/tests/slow_links.rs
+++ b/crates/steer/tests/slow_links.rs
@@ -14,9 +14,9 @@
     time::Duration,
 };
 use steer::{
-    ObjectBatch, ObjectCache, ObjectSource, PartQuery, PeerError, RawObject, RegistryError,
-    RelayLimits, RelayedSource, Router, UpdatePeers, UpdateQuery, UpdateReply, VmHello,
-    poll_delegates,
+    ObjectBatch, ObjectCache, ObjectPage, ObjectSource, PageQuery, PartQuery, PeerError, RawObject,
+    RegistryError, RelayRole, RelayTiming, RelayedSource, Router, UpdatePeers, UpdateQuery,
+    UpdateReply, VmHello, poll_upstreams,
 };
 use tokio::{
     sync::watch,
@@ -27,10 +27,7 @@
 const TARGETS: &str = "targets";
 /// Time within which a change must be known at every VM.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
-const CONFIGURATION_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(2_100), wait: Duration::from_millis(1_200) };
-const TARGET_LIMITS: RelayLimits =
-    RelayLimits { max_age: Duration::from_millis(1_900), wait: Duration::from_secs(1) };
+const POLL_WAIT: Duration = Duration::from_millis(700);
 /// Time from which the store's client waits no longer for a response, besides the call's own wait.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -147,19 +144,27 @@
         self.link.carry(part.as_ref().map_or(0, String::len) + 100).await;
         part.ok_or_else(|| PeerError::Refused("no such version".to_owned()))
     }
+
+    async fn fetch_page(
+        &self,
+        _peer: SocketAddr,
+        query: &PageQuery,
+    ) -> Result<ObjectPage, PeerError> {
+        let page = self.cache.page(query);
+        let size = |page: &ObjectPage| size(&ObjectBatch::new(page.objects.clone(), 0));
+        self.link.carry(page.as_ref().map_or(0, size) + 100).await;
+        page.ok_or_else(|| PeerError::Refused("no objects".to_owned()))
+    }
 }
 
 /// Reads the store for the region's delegates, whose links are fast.
-async fn read_for_delegates(
-    store: Arc<SizedStore>,
-    cache: Arc<ObjectCache>,
-    kind: &'static str,
-    limits: RelayLimits,
-) {
+async fn read_for_delegates(store: Arc<SizedStore>, cache: Arc<ObjectCache>, kind: &'static str) {
+    let timing = RelayTiming::within(APPLY_LIMIT);
+    let max_age = timing.max_age(RelayRole::ZoneDelegate);
     let mut revision = store.revision(kind);
-    cache.replace(kind, store.read(kind), limits.max_age, Instant::now());
+    cache.replace(kind, store.read(kind), max_age, Instant::now());
     loop {
-        let batch = store.wait_after(kind, revision, limits.wait).await;
+        let batch = store.wait_after(kind, revision, timing.wait).await;
         let since = std::mem::replace(&mut revision, batch.revision);
         cache.extend(kind, since, batch, Instant::now());
         sleep(Duration::from_millis(20)).await;
@@ -171,8 +176,7 @@
         for number in 2..=28 {
             let mut vm = vm(&format!("entry-{number}"), number, "lis-a", "lisboa");
             vm.capacity = 500;
-            let (leaving, limits, live) = (false, Vec::new(), BTreeSet::new());
-            router.record_hello(VmHello { leaving, limits, live, store_lost: false, vm });
+            router.record_hello(VmHello::new(vm));
         }
         sleep(Duration::from_millis(700)).await;
     }
@@ -209,25 +213,25 @@
     let store = Arc::new(SizedStore { state: watch::Sender::new((5, 1_000, 5)) });
     let delegates = Arc::new(Delegates { cache: ObjectCache::new(), link: Arc::clone(&link) });
     let mut tasks = tokio::task::JoinSet::new();
-    for (kind, limits) in [(CONFIGURATION, CONFIGURATION_LIMITS), (TARGETS, TARGET_LIMITS)] {
+    for kind in [CONFIGURATION, TARGETS] {
         let (store, cache) = (Arc::clone(&store), Arc::clone(&delegates.cache));
-        tasks.spawn(read_for_delegates(store, cache, kind, limits));
+        tasks.spawn(read_for_delegates(store, cache, kind));
     }
     let own = vm("entry-1", 1, "lis-a", "lisboa");
     let router = Arc::new(router_of(own, Arc::new(EmptyTargets)));
+    router.fleet().set_registry_read(&BTreeSet::new());
     tasks.spawn(send_hellos(Arc::clone(&router)));
     sleep(Duration::from_millis(10)).await;
     let cache = ObjectCache::new();
     let seen = [(); 2].map(|()| Arc::new(Mutex::new(Vec::new())));
-    for ((kind, limits), seen) in
-        [(CONFIGURATION, CONFIGURATION_LIMITS), (TARGETS, TARGET_LIMITS)].into_iter().zip(&seen)
-    {
+    for (kind, seen) in [CONFIGURATION, TARGETS].into_iter().zip(&seen) {
         let (link, store) = (Arc::clone(&link), Arc::clone(&store));
         let reads = Arc::new(StoreBehindLink { link, store });
-        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), limits, reads);
+        let timing = RelayTiming::within(APPLY_LIMIT);
+        let source = RelayedSource::new(Arc::clone(&router), Arc::clone(&cache), timing, reads);
         tasks.spawn(follow(source, kind, Arc::clone(seen)));
     }
-    tasks.spawn(poll_delegates(Arc::clone(&router), cache, delegates as _));
+    tasks.spawn(poll_upstreams(Arc::clone(&router), cache, delegates as _, POLL_WAIT));
     let mut changed = Vec::new();
     for step in 0..80 {
         sleep(Duration::from_millis(250)).await;
