Let the planned stop of the review cut uploads too

Cause: uploads have no timeout of their route and may not be repeated, so their loss is graver than that of reads. Change: two uploads beside the reads, and routes without a timeout.

--- a/review/stand_ins/tests/fleet.rs
+++ b/review/stand_ins/tests/fleet.rs
@@ -268,7 +268,8 @@
     pub kind: &'static str,
     pub name: &'static str,
     pub service: &'static str,
-    pub timeout: f64,
+    /// In seconds; uploads have none.
+    pub timeout: Option<f64>,
 }
 
 /// Writes a configuration; its return is the acknowledgement.
@@ -277,9 +278,10 @@
         .iter()
         .map(|route| {
             let Route { attempts, kind, name, service, timeout } = route;
+            let timeout = timeout.map(|s| format!("\"timeout_s\":{s},")).unwrap_or_default();
             format!(
                 "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
-                 \"kind\":\"{kind}\",\"timeout_s\":{timeout},\"target_latency_s\":1.5,\
+                 \"kind\":\"{kind}\",{timeout}\"target_latency_s\":1.5,\
                  \"priority\":1,\"service\":\"{service}\",\"attempts\":{attempts},\
                  \"sticky\":false,\"home_regions\":[]}}"
             )
--- a/review/stand_ins/tests/planned_stop.rs
+++ b/review/stand_ins/tests/planned_stop.rs
@@ -15,13 +15,22 @@
 
 /// Deadline and work of requests as those of `ledger-sync`, whose route has a timeout of 6 s.
 const DEADLINE: Duration = Duration::from_secs(12);
+/// Deadline and size of requests as those of `survey-upload`, which has no timeout and may not be repeated.
+const UPLOAD_DEADLINE: Duration = Duration::from_secs(4);
+const UPLOAD_BYTES: usize = 60_000;
+/// Clients that keep a connection to the router that stops.
+const READS: usize = 4;
+const UPLOADS: usize = 2;
 const STRAGGLER_MS: u32 = 9_000;
 const USUAL_MS: u32 = 400;
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> io::Result<Vec<String>> {
     let store = Store::start()?;
-    let routes =
-        [Route { attempts: 2, kind: "safe", name: "sync", service: "arhiva", timeout: 6.0 }];
+    let service = "arhiva";
+    let routes = [
+        Route { attempts: 2, kind: "safe", name: "sync", service, timeout: Some(6.0) },
+        Route { attempts: 2, kind: "upload", name: "survey", service, timeout: None },
+    ];
     configure(&store, 3, &routes);
     let targets: Vec<Arc<Target>> = ["osijek-a", "vukovar-a"]
         .iter()
@@ -32,7 +41,7 @@
     let (stopped, other) = (0, 1);
     // Usual traffic, over connections that the clients keep. It also ends the first cold seconds.
     let mut clients: Vec<Client> =
-        (0..4).map(|n| Client::new(fleet, format!("kept{n}"), stopped)).collect();
+        (0..READS + UPLOADS).map(|n| Client::new(fleet, format!("kept{n}"), stopped)).collect();
     for _ in 0..6 {
         thread::scope(|scope| {
             for client in &mut clients {
@@ -58,9 +67,15 @@
         stop_sent = Instant::now();
         sleep(Duration::from_millis(600));
         // Clients keep using open connections.
-        for client in &mut clients {
+        let (reads, uploads) = clients.split_at_mut(READS);
+        for client in reads {
             scope.spawn(|| client.send("GET", &format!("/sync/a/{USUAL_MS}"), DEADLINE, ""));
         }
+        sleep(Duration::from_millis(1_400));
+        for client in uploads {
+            let (path, body) = (format!("/survey/a/{USUAL_MS}"), "7".repeat(UPLOAD_BYTES));
+            scope.spawn(move || client.send("POST", &path, UPLOAD_DEADLINE, &body));
+        }
     });
     let arrivals = record.arrivals();
     let mut broken = Vec::new();
@@ -77,11 +92,15 @@
             arrival.begun.is_some() && arrival.ended.is_none_or(|ended| ended >= last)
         });
         let cut = request.ended - stop_sent;
-        let limit = Duration::from_secs(6).min(DEADLINE);
+        let limit = match request.path.starts_with("/survey") {
+            true => UPLOAD_DEADLINE,
+            false => Duration::from_secs(6),
+        };
         if !passed.is_empty() && !at_work && request.ended - request.at < limit {
             broken.push(format!(
-                "{id} reached backend {}, which had not begun it; its connection ended without an \
+                "{id} ({}) reached backend {}, which had not begun it; its connection ended without an \
                  answer {:.1} s after the SIGTERM and {:.1} s after it was sent",
+                request.path,
                 passed[0].target,
                 cut.as_secs_f64(),
                 (request.ended - request.at).as_secs_f64()
--- a/review/stand_ins/tests/poison.rs
+++ b/review/stand_ins/tests/poison.rs
@@ -28,8 +28,20 @@
 pub fn run(trouble: bool, record: &Arc<Record>) -> io::Result<Vec<String>> {
     let store = Store::start()?;
     let routes = [
-        Route { attempts: 2, kind: "safe", name: "view", service: "redoslijed", timeout: 1.5 },
-        Route { attempts: 2, kind: "unsafe", name: "claim", service: "redoslijed", timeout: 2.0 },
+        Route {
+            attempts: 2,
+            kind: "safe",
+            name: "view",
+            service: "redoslijed",
+            timeout: Some(1.5),
+        },
+        Route {
+            attempts: 2,
+            kind: "unsafe",
+            name: "claim",
+            service: "redoslijed",
+            timeout: Some(2.0),
+        },
     ];
     configure(&store, 3, &routes);
     for number in 0..12 {
