--- a/review/stand_ins/tests/silent_watch.rs
+++ b/review/stand_ins/tests/silent_watch.rs
@@ -18,7 +18,7 @@
 const MARGIN: Duration = Duration::from_millis(50);
 
 fn routes(service: &'static str) -> [Route; 1] {
-    [Route { attempts: 2, kind: "safe", name: "view", service, timeout: 1.5 }]
+    [Route { attempts: 2, kind: "safe", name: "view", service, timeout: Some(1.5) }]
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> io::Result<Vec<String>> {
@@ -30,7 +30,7 @@
     }
     let fleet = &Fleet::start(&store, record)?;
     sleep(Duration::from_secs(6));
-    // The connections on which nothing passes, as those of the watches of what rarely changes.
+    // The connections on which the watches of the configuration wait: nothing passes on them for seconds.
     let silenced = loop {
         let connections = store.connections.lock().unwrap();
         let waits_for = |kind: &str, since: Duration| {
@@ -48,7 +48,7 @@
             .iter()
             .filter(|connection| {
                 let watch = connection.watch.lock().unwrap();
-                watch.as_ref().is_some_and(|(kind, _)| kind != "servers")
+                watch.as_ref().is_some_and(|(kind, _)| kind == "config")
             })
             .cloned()
             .collect();
