--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 # disruption out.
 set -um
 cd "$(dirname "$0")/../.."
-program=review/stand_ins/target/release/review-stand-ins
+program=target/review/release/review-stand-ins
 for needed in "$program" target/release/ragwortswitch; do
     [ -x "$needed" ] || { echo "$needed is missing: build it first" >&2; exit 2; }
 done
