Show that the retry budget grows with the fleet

Cause: each VM holds a budget of its own with the same capacity, so a grown fleet may retry more at once than the bounds allow.

--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/6/case.py
+exec python3 review/7/case.py
