Read TROUBLE in the scripts of the cases themselves

Cause: review/7 and review/9 read it through the stand-ins they share, so their own folders don't show that they do.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A request that crashes its servers comes again four times at once, 30 s after the third crash."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -9,6 +10,8 @@
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 import fleet  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 POISON = "/calendar/crash"
 # `retry_abuse`: x (3) more times, at once.
 COPIES = 4
@@ -22,7 +25,7 @@
 
         def add_poison(server):
             async def run(head):
-                if head.first.split(" ")[1] == POISON and fleet.is_troubled():
+                if head.first.split(" ")[1] == POISON and IS_TROUBLED:
                     arrivals.append((record.now(), head.headers["request-id"]))
                     crashes.append(record.now())
                     record.write(f"server {server.name} crashes, crash {len(crashes)}")
@@ -50,7 +53,7 @@
         # The caller sends its request again each second until three servers have crashed.
         for _ in range(12):
             await deployment.send(random.choice(deployment.machines), POISON, tag="(crashing)")
-            if len(crashes) >= 3 or not fleet.is_troubled():
+            if len(crashes) >= 3 or not IS_TROUBLED:
                 break
             await asyncio.sleep(1.0)
         third = crashes[2] if len(crashes) >= 3 else record.now()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import os
 import pathlib
 import struct
 import sys
@@ -11,6 +12,8 @@
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 import fleet  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 SERVERS = {"osijek-a": 3, "beli-manastir": 1, "vukovar-a": 2, "osijek-b": 3, "darda": 1}
 SERVERS["vukovar-b"] = 2
 DARK_ZONE = "vukovar-a"
@@ -43,7 +46,7 @@
                 server = await deployment.add_server(name, zone, service="archive", work_s=0.65)
                 add_arrivals(server)
         await deployment.start_machines()
-        if fleet.is_troubled():
+        if IS_TROUBLED:
             for server in deployment.servers:
                 if server.zone == DARK_ZONE:
                     record.write(f"server {server.name} loses power")
--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -451,10 +451,6 @@
     return route
 
 
-def is_troubled():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run(check):
     """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     try:
