--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks the stand-ins of the cases 11 to 15. They are written in Python, with its standard library
+# Checks the stand-ins of the cases 11 to 13. They are written in Python, with its standard library
 # alone, so nothing is left to build.
 set -euo pipefail
 cd "$(dirname "$0")"
