End a pause after a failed read by relayed news

A VM that got the targets from the VM above at 25.868 s woke its flow of the configuration, which found nothing in the cache yet, failed and paused for 3 s, whatever came into the cache meanwhile; `store: answers again` for the configuration is 3.001 s later, at two VMs, while the VM above had news all the time (`relay: news again`, 26.11 s). That the news came late is excluded by that. Class: a pause that ends by a timer although the event it waits for has come.

Change: `Registry::wait_news` ends the pause of a flow as soon as the cache has what the failed call lacked. Recoveries that other flows notice are subscribed to before a call, not after it failed, so that one in between is seen.

--- a/crates/steer/src/flows/follow_registry.rs
+++ b/crates/steer/src/flows/follow_registry.rs
@@ -70,6 +70,7 @@
         follower,
         log,
         timing,
+        recovered: recoveries.0.subscribe(),
         registry,
         recoveries,
     };
@@ -87,6 +88,8 @@
     follower: Arc<dyn Follower<T>>,
     log: Logger,
     timing: FollowTiming,
+    /// Recoveries that other flows notice after the last call began.
+    recovered: watch::Receiver<u64>,
     registry: Arc<dyn Registry<T>>,
     recoveries: StoreRecoveries,
 }
@@ -95,6 +98,7 @@
     /// Calls the store until it answers with a listing, and returns the listing's revision.
     async fn list(&mut self) -> u64 {
         loop {
+            self.recovered.mark_unchanged();
             match self.registry.list().await {
                 Ok(listing) => {
                     self.record_answer(listing.relayed);
@@ -114,7 +118,7 @@
     async fn watch(&mut self, mut revision: u64) {
         loop {
             let started = Instant::now();
-            let mut recovered = self.recoveries.0.subscribe();
+            self.recovered.mark_unchanged();
             // What is due already would cancel the call.
             self.follower.run_due();
             let deadline = self.follower.next_deadline();
@@ -127,7 +131,7 @@
                     self.follower.run_due();
                     continue;
                 }
-                _ = recovered.changed() => continue,
+                _ = self.recovered.changed() => continue,
             };
             match answer {
                 Ok(changes) => {
@@ -175,11 +179,11 @@
             warn!(self.log, "store: lost"; "registry" => self.follower.name(), "error" => %error);
             self.follower.on_store_lost();
         }
-        let mut recovered = self.recoveries.0.subscribe();
         tokio::select! {
             biased;
             () = sleep(self.backoff.next_pause().min(self.timing.pause)) => {}
-            _ = recovered.changed() => {}
+            _ = self.recovered.changed() => {}
+            () = self.registry.wait_news() => {}
         }
     }
 }
--- a/crates/steer/src/ports/object_source.rs
+++ b/crates/steer/src/ports/object_source.rs
@@ -2,7 +2,9 @@
 
 use super::{PeerError, RegistryError};
 use async_trait::async_trait;
-use std::{collections::BTreeMap, fmt::Debug, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap, fmt::Debug, future::pending, net::SocketAddr, sync::Arc, time::Duration,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time after the wait of a call within which the store responds, or else the call fails. The store
@@ -92,6 +94,12 @@
         revision: u64,
         wait: Duration,
     ) -> Result<ObjectBatch, RegistryError>;
+
+    /// Waits until there is a reason to repeat a call for a kind that failed. Never returns if only the
+    /// store can tell, which is the default.
+    async fn wait_news(&self, _kind: &'static str) {
+        pending().await
+    }
 }
 
 /// Request to a peer for the changes of each kind after a revision.
--- a/crates/steer/src/ports/registry.rs
+++ b/crates/steer/src/ports/registry.rs
@@ -2,7 +2,7 @@
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
-use std::{collections::BTreeMap, fmt::Debug, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, fmt::Debug, future::pending, sync::Arc, time::Duration};
 
 /// All objects of a registry at a revision.
 #[derive(Clone, Debug)]
@@ -88,6 +88,12 @@
     ///
     /// Returns `Expired` if the registry must be listed again.
     async fn watch(&self, revision: u64, wait: Duration) -> Result<Changes<T>, RegistryError>;
+
+    /// Waits until there is a reason to repeat a call that failed. Never returns if only the store can
+    /// tell, which is the default.
+    async fn wait_news(&self) {
+        pending().await
+    }
 }
 
 /// Writes this VM's own registration.
--- a/crates/steer/src/relay/object_cache.rs
+++ b/crates/steer/src/relay/object_cache.rs
@@ -237,10 +237,11 @@
         .await;
     }
 
-    /// Waits until a peer relays fresh objects of a kind.
-    pub async fn wait_relayed(&self, kind: &str) {
+    /// Waits until a peer relays fresh objects of a kind at a revision after `after`.
+    pub async fn wait_relayed(&self, kind: &str, after: u64) {
         self.wait_until(|inner, now| {
-            inner.logs.get(kind).is_some_and(|log| log.is_relayed() && log.fresh_until() > now)
+            let log = inner.logs.get(kind).filter(|log| log.is_relayed() && log.revision() > after);
+            log.is_some_and(|log| log.fresh_until() > now)
         })
         .await;
     }
--- a/crates/steer/src/relay/relayed_source.rs
+++ b/crates/steer/src/relay/relayed_source.rs
@@ -6,6 +6,7 @@
 use slog::info;
 use std::{
     fmt::{self, Debug, Formatter},
+    future::pending,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -218,10 +219,18 @@
             tokio::select! {
                 biased;
                 batch = self.replace_upstreams(kind, revision, wait) => return batch,
-                () = self.cache.wait_relayed(kind) => {}
+                () = self.cache.wait_relayed(kind, 0) => {}
             }
         }
     }
+
+    async fn wait_news(&self, kind: &'static str) {
+        // A reader calls the store, whatever other VMs relay.
+        if self.router.fleet().role() == RelayRole::Reader {
+            pending::<()>().await;
+        }
+        self.cache.wait_relayed(kind, self.expired.load(Ordering::Relaxed)).await;
+    }
 }
 
 impl Debug for RelayedSource {
--- a/crates/steer/tests/relay_fleet.rs
+++ b/crates/steer/tests/relay_fleet.rs
@@ -6,8 +6,9 @@
 mod relay_world;
 mod routers;
 
-use async_trait::async_trait;
-use relay_world::{CONFIGURATION, Peers, StoreLink, StoreState, TARGETS, World};
+use relay_world::{
+    CONFIGURATION, KindRegistry, Peers, Recorder, StoreLink, StoreState, TARGETS, World,
+};
 use routers::{EmptyTargets, router_of, vm};
 use slog::{Discard, Logger, o};
 use std::{
@@ -22,8 +23,7 @@
     time::Duration,
 };
 use steer::{
-    Change, ChangeLimits, Changes, Follower, Listing, ObjectBatch, ObjectCache, ObjectSource,
-    Registry, RegistryError, RelayRole, RelayTiming, RelayedSource, Router, StoreGate,
+    ChangeLimits, ObjectCache, RelayRole, RelayTiming, RelayedSource, Router, StoreGate,
     StoreRecoveries, VmRecord, VmState, follow_registry, poll_upstreams, send_hellos,
 };
 use tokio::{
@@ -63,70 +63,6 @@
     ChangeLimits { apply: limit, drain: limit, evacuate, stable: Duration::from_secs(apply + 1) }
 }
 
-/// A registry whose object is its revision.
-#[derive(Debug)]
-struct KindRegistry {
-    kind: &'static str,
-    source: RelayedSource,
-}
-
-fn read_batch(batch: &ObjectBatch) -> Option<u64> {
-    batch.objects.iter().filter_map(|object| object.text.parse().ok()).max()
-}
-
-#[async_trait]
-impl Registry<u64> for KindRegistry {
-    async fn list(&self) -> Result<Listing<u64>, RegistryError> {
-        let batch = self.source.list(self.kind).await?;
-        let items = read_batch(&batch).map(|value| ("main".into(), value)).into_iter().collect();
-        let (relayed, revision) = (batch.relayed, batch.revision);
-        Ok(Listing { items, relayed, revision, unreadable: BTreeMap::new() })
-    }
-
-    async fn watch(&self, revision: u64, wait: Duration) -> Result<Changes<u64>, RegistryError> {
-        let batch = self.source.watch(self.kind, revision, wait).await?;
-        let changes = read_batch(&batch).map(|value| Change::Put("main".into(), value));
-        let changes = changes.into_iter().collect();
-        Ok(Changes { changes, relayed: batch.relayed, revision: batch.revision })
-    }
-}
-
-/// Records when a VM first knew each value, and tells the router of losses of the store.
-#[derive(Debug)]
-struct Recorder {
-    kind: &'static str,
-    known: Mutex<BTreeMap<u64, Instant>>,
-    router: Arc<Router>,
-}
-
-impl Follower<u64> for Recorder {
-    fn apply(&self, change: Change<u64>) {
-        if let Change::Put(_, value) = change {
-            self.known.lock().unwrap().entry(value).or_insert_with(Instant::now);
-        }
-    }
-
-    fn name(&self) -> &'static str {
-        self.kind
-    }
-
-    fn on_store_lost(&self) {
-        if self.kind == TARGETS {
-            self.router.fleet().record_store_lost();
-        }
-    }
-
-    fn on_store_recovered(&self, relayed: bool) {
-        if self.kind == TARGETS {
-            self.router.fleet().record_store_recovered(relayed);
-        }
-    }
-
-    fn replace(&self, listing: Listing<u64>) {
-        listing.items.into_iter().for_each(|(name, value)| self.apply(Change::Put(name, value)));
-    }
-}
-
 struct Fleet {
     recorders: BTreeMap<SocketAddr, Arc<Recorder>>,
     _tasks: JoinSet<()>,
@@ -192,8 +128,7 @@
             let source =
                 source.with_gate(Arc::clone(&gate)).with_start_wait(RelayedSource::START_WAIT);
             let registry = Arc::new(KindRegistry { kind, source });
-            let (known, router) = (Mutex::default(), Arc::clone(router));
-            let recorder = Arc::new(Recorder { kind, known, router });
+            let recorder = Arc::new(Recorder::new(kind, Arc::clone(router)));
             let timing = if kind == TARGETS { limits.targets() } else { limits.configuration() };
             let (follower, log) = (Arc::clone(&recorder), Logger::root(Discard, o!()));
             tasks.spawn(follow_registry(registry, follower, timing, recoveries.clone(), log));
@@ -282,8 +217,7 @@
     let is_cut = |vm: &SocketAddr| fleet.world.is_cut(*vm);
     let uncut = fleet.recorders.iter().filter(|(vm, _)| !is_cut(vm));
     let known = uncut.map(|(_, recorder)| {
-        let known = recorder.known.lock().unwrap();
-        let first = known.range(revision..).next().map(|(_, at)| *at);
+        let first = recorder.known_since(revision);
         first.unwrap_or(start + LENGTH).duration_since(start + changed)
     });
     let mut delays: Vec<Duration> = known.collect();
--- a/crates/steer/tests/relay_world/mod.rs
+++ b/crates/steer/tests/relay_world/mod.rs
@@ -1,5 +1,10 @@
 //! The store of a simulated fleet, and the network between its VMs.
 
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
+
+mod recorder;
+
+pub(crate) use self::recorder::{KindRegistry, Recorder};
 use async_trait::async_trait;
 use std::{
     collections::{BTreeMap, BTreeSet},
