Forward bodies of unknown length with every method

`strip_hop_headers` removes Transfer-Encoding, as it concerns one connection only, and nothing framed the body anew: for GET, HEAD and CONNECT the HTTP client sends no body of unknown length unless that header asks for it, and drops it without an error. That the listener drops the body, or a retry, is ruled out: POST in chunks and GET with a length arrive unchanged on the same way. Class: a request whose framing changes between two connections. The same stood between two entry VMs (`RpcPeers::hand_off`), mended too.

Change: `set_framing` asks for chunks where a body has no known length, on both ways. CONNECT, whose body can't be told from its tunnel, is refused as not run; before, a path in place of its authority was forwarded as a request.

--- a/crates/adapters/src/http/hop_headers.rs
+++ b/crates/adapters/src/http/hop_headers.rs
@@ -1,11 +1,13 @@
-//! Hop-by-hop headers (RFC 9110, section 7.6.1) and the origin form of requests.
+//! Hop-by-hop headers (RFC 9110, section 7.6.1), the framing of bodies and the origin form of requests.
 
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Uri, Version,
     header::{
-        CONNECTION, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+        TRANSFER_ENCODING, UPGRADE,
     },
 };
+use http_body::Body;
 
 const HOP_HEADERS: [HeaderName; 8] = [
     CONNECTION,
@@ -41,6 +43,24 @@
     }
 }
 
+/// Requests that a body of unknown length is sent in chunks. Without that, the HTTP client sends no
+/// such body with the methods that usually have none, such as `GET`.
+///
+/// ```
+/// use http::{Request, header::TRANSFER_ENCODING};
+/// let mut request = Request::get("/").body(String::from("known length")).unwrap();
+/// adapters::set_framing(&mut request);
+/// assert!(!request.headers().contains_key(TRANSFER_ENCODING));
+/// ```
+pub fn set_framing<B: Body>(request: &mut Request<B>) {
+    if request.body().is_end_stream() || request.body().size_hint().exact().is_some() {
+        return;
+    }
+    let headers = request.headers_mut();
+    headers.remove(CONTENT_LENGTH);
+    headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+}
+
 /// Converts a request to HTTP/1.1 in origin form, with its authority in the `Host` header.
 ///
 /// ```
--- a/crates/adapters/src/http/http_targets.rs
+++ b/crates/adapters/src/http/http_targets.rs
@@ -1,6 +1,6 @@
 //! Adapter of the target port over HTTP/1.1.
 
-use super::{Acceptance, ConnectionPool, strip_hop_headers, to_origin_form};
+use super::{Acceptance, ConnectionPool, set_framing, strip_hop_headers, to_origin_form};
 use async_trait::async_trait;
 use http::{Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
@@ -57,6 +57,7 @@
     ) -> Result<Response<Body>, SendError> {
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
+        set_framing(&mut request);
         let mut response = self.pool.send_checked(target, request, check).await?;
         strip_hop_headers(response.headers_mut());
         Ok(response)
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -21,7 +21,7 @@
 pub use self::{
     connection_end::{ConnectionEnd, EndCause},
     connection_pool::{Acceptance, ConnectionPool},
-    hop_headers::{strip_hop_headers, to_origin_form},
+    hop_headers::{set_framing, strip_hop_headers, to_origin_form},
     http_targets::HttpTargets,
     incoming_body::to_body,
     listener::{EarlyStartFilter, Listener, ListenerLimits},
--- a/crates/adapters/src/peers/rpc_peers.rs
+++ b/crates/adapters/src/peers/rpc_peers.rs
@@ -11,7 +11,9 @@
         WireUpdateQuery, WireUpdateReply, decode_reply,
     },
 };
-use crate::{Acceptance, ConnectionPool, http::CROSSED, strip_hop_headers, to_origin_form};
+use crate::{
+    Acceptance, ConnectionPool, http::CROSSED, set_framing, strip_hop_headers, to_origin_form,
+};
 use async_trait::async_trait;
 use http::{Request, Response, response::Parts};
 use jsonrpsee::{
@@ -240,6 +242,7 @@
     ) -> Result<Response<Body>, SendError> {
         to_origin_form(&mut request);
         strip_hop_headers(request.headers_mut());
+        set_framing(&mut request);
         let id = request.headers().get(REQUEST_ID_HEADER).cloned();
         let check = |head: &Parts| {
             let is_own = head.headers.get(REQUEST_ID_HEADER) == id.as_ref();
--- a/crates/steer/src/flows/forward_request.rs
+++ b/crates/steer/src/flows/forward_request.rs
@@ -14,7 +14,7 @@
     SendPermit, ServiceName, SmallBodyError, TargetIdentity, TargetOutcome, TargetReport,
     bound_body, buffer_small_body, hold_until_end,
 };
-use http::{Request, Response, header::CONTENT_LENGTH};
+use http::{Method, Request, Response, header::CONTENT_LENGTH};
 use http_body::Body as _;
 use slog::info;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -72,6 +72,10 @@
     let route = table
         .find(&caller.host, &caller.path)
         .ok_or_else(|| refuse_early(router, caller, ErrorKind::NoService))?;
+    // What follows its head belongs to a tunnel, not to a body.
+    if request.method() == Method::CONNECT {
+        return Err(refuse_early(router, caller, ErrorKind::RequestInvalid));
+    }
     let length = request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     if length.zip(table.max_body).is_some_and(|(length, max): (u64, u64)| length > max) {
         return Err(refuse_early(router, caller, ErrorKind::BodyTooLarge));
--- a/crates/steer/src/flows/serve_request.rs
+++ b/crates/steer/src/flows/serve_request.rs
@@ -8,7 +8,7 @@
     TraceContext, bound_body, full_body, hold_until_end,
 };
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Method, Request, Response};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use std::time::Duration;
@@ -43,6 +43,10 @@
 ) -> Result<Response<Body>, Refusal> {
     let name = if origin == Origin::Caller { "entry" } else { "peer entry" };
     let mut span = node.ports().tracer.start(name, trace_of(&request).as_ref());
+    // What follows its head belongs to a tunnel, not to a body.
+    if request.method() == Method::CONNECT {
+        return Err(Refusal::new(ErrorKind::RequestInvalid, "tunnels are not supported"));
+    }
     let snapshot = node.snapshot();
     let mut call = Call::classify(&snapshot, &request)?;
     span.record("service", call.service.name.as_str());
