See a caller's end behind bytes that are not read yet

The connection of a caller is read ahead up to 64 KiB; behind that neither hyper nor the listener read on while the request waited for a connection to its target, and the end behind the unread bytes wasn't seen. Class: an end behind unread bytes, wherever a request waits: each handler's future is dropped with its connection, so what matters is that the end is seen, for a wait for a connection, a body that is read in part, a pipeline.

Change: once the buffer is full, the listener waits for the event by which the kernel reports the end of a stream, whatever is unread in front of it. `WriteTimeout` shares its stream with that wait; a read that doesn't fill its buffer still isn't followed by another before the next event.

--- a/crates/adapters/src/http/listener.rs
+++ b/crates/adapters/src/http/listener.rs
@@ -4,6 +4,7 @@
     http::{
         ConnectionEnd, EndCause, ListenerControl, ListenerObserver, ListenerPhase, LostResponse,
         ReplacedResponse,
+        read_ahead_budget::ReadAheadBudget,
         read_ahead_stream::{
             HeadLimits, PipelinedRequest, ReadAhead, ReadAheadStream, has_close, parse_length,
         },
@@ -160,7 +161,7 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
-        let waiting = WaitingLimit::new();
+        let (waiting, budget) = (WaitingLimit::new(), ReadAheadBudget::new());
         loop {
             let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
             match self.socket.accept().await {
@@ -168,9 +169,11 @@
                     let (handler, limits) = (handler.clone(), self.limits);
                     let (early, observer) = (self.early.clone(), Arc::clone(&self.observer));
                     let (id_header, waiting) = (self.id_header.clone(), waiting.clone());
+                    let budget = budget.clone();
                     let phase = self.control.phase.subscribe();
                     self.control.tasks.spawn(async move {
                         let connection = CallerConnection {
+                            budget,
                             caller,
                             early,
                             id_header,
@@ -191,6 +194,7 @@
 
 /// A caller's connection.
 struct CallerConnection {
+    budget: ReadAheadBudget,
     caller: SocketAddr,
     early: Option<EarlyStartFilter>,
     id_header: Option<HeaderName>,
@@ -214,10 +218,13 @@
         if closing || stream.set_nodelay(true).is_err() {
             return;
         }
-        let Self { caller, early, id_header, limits, observer, waiting } = self;
+        let Self { budget, caller, early, id_header, limits, observer, waiting } = self;
         let head_limits = HeadLimits { bytes: limits.max_head, headers: limits.max_headers };
-        let stream: ReadAheadStream<WaitingResponse> =
-            ReadAheadStream::new(WriteTimeout::new(stream, limits.write_timeout), head_limits);
+        let stream: ReadAheadStream<WaitingResponse> = ReadAheadStream::new(
+            WriteTimeout::new(stream, limits.write_timeout),
+            head_limits,
+            budget.share(),
+        );
         let start = |head: &Request<()>| {
             let allowed = early.as_ref().is_some_and(|filter| filter(head));
             let permit = allowed.then(|| waiting.try_acquire()).flatten()?;
@@ -274,6 +281,7 @@
         };
         // Hyper's timeout starts with HTTP/1.1, which takes the first bytes to detect.
         let mut head_timeout = pin!(sleep(limits.head_timeout));
+        let mut caller_end = pin!(stream.wait_caller_end());
         let mut closing = false;
         loop {
             tokio::select! {
@@ -314,6 +322,7 @@
                     // them at their targets.
                     ReadAhead::Eof => return end(None),
                 },
+                () = &mut caller_end, if stream.is_full() => return end(None),
             }
         }
     }
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod listener_event;
 mod pooled_body;
 mod pooled_connection;
+mod read_ahead_budget;
 mod read_ahead_stream;
 mod read_limit;
 mod request_tracker;
--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -1,9 +1,10 @@
 //! Reads a caller's connection ahead of hyper, which reads only one request at a time.
 //!
-//! Reading ahead detects at once that the caller has closed the connection. It also parses the
-//! requests that are pipelined behind the current one, so that they can be started early.
+//! Reading ahead detects at once that the caller has closed the connection; once as much is buffered as
+//! may be, an end that has arrived is seen without reading. It also parses the requests that are pipelined behind the
+//! current one, so that they can be started early.
 
-use super::write_timeout::WriteTimeout;
+use super::{read_ahead_budget::ReadAheadShare, write_timeout::WriteTimeout};
 use bytes::{Buf, BytesMut};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
@@ -18,8 +19,10 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Maximum number of bytes buffered before hyper reads them.
+/// Number of bytes that a connection may buffer before hyper reads them, whatever others buffer.
 const MAX_READ_AHEAD: usize = 64 << 10;
+/// Maximum number of bytes that it buffers if the budget of its listener allows for them.
+const MAX_FAR_AHEAD: usize = 1 << 20;
 /// Maximum number of reads in one poll of the connection's task. A caller that never stops sending
 /// would else use up the task's budget, and the timers of its requests would not fire.
 const MAX_READS: usize = 32;
@@ -80,6 +83,8 @@
     /// be lost with a response that breaks off.
     passing: usize,
     pipelined: VecDeque<PipelinedRequest<T>>,
+    /// Covers the buffered bytes beyond `MAX_READ_AHEAD`.
+    share: ReadAheadShare,
     /// Number of reads in the current poll of the connection's task.
     reads: usize,
     /// Number of bytes received from the caller.
@@ -109,7 +114,7 @@
 }
 
 impl<T> ReadAheadStream<T> {
-    pub(super) fn new(stream: WriteTimeout, limits: HeadLimits) -> Self {
+    pub(super) fn new(stream: WriteTimeout, limits: HeadLimits, share: ReadAheadShare) -> Self {
         let state = StreamState {
             body_end: 0,
             buffered: BytesMut::new(),
@@ -120,6 +125,7 @@
             limits,
             passing: 0,
             pipelined: VecDeque::new(),
+            share,
             reads: 0,
             received: 0,
             stream,
@@ -131,6 +137,18 @@
         self.state.lock().expect("no thread panics while it holds the stream")
     }
 
+    /// Returns whether so much is buffered that reading ahead may wait for hyper to take bytes.
+    pub(super) fn is_full(&self) -> bool {
+        self.lock().is_full()
+    }
+
+    /// Waits until the caller's end has arrived, also behind bytes that are not read yet, and records it.
+    pub(super) async fn wait_caller_end(&self) {
+        let end = self.lock().stream.wait_peer_end();
+        end.await;
+        self.lock().eof = true;
+    }
+
     /// Returns the number of requests that were started early and that hyper hasn't read yet.
     pub(super) fn started(&self) -> usize {
         self.lock().started()
@@ -223,7 +241,7 @@
         if state.eof {
             return Poll::Ready(ReadAhead::Eof);
         }
-        if state.buffered.len() >= MAX_READ_AHEAD {
+        if !state.may_buffer() {
             return Poll::Pending;
         }
         match ready!(state.poll_fill(cx)) {
@@ -244,6 +262,26 @@
 }
 
 impl<T> StreamState<T> {
+    fn is_full(&self) -> bool {
+        self.buffered.len() >= MAX_READ_AHEAD
+    }
+
+    /// Returns whether the bytes of another read may be buffered.
+    fn may_buffer(&mut self) -> bool {
+        let length = self.buffered.len() + READ_SIZE;
+        let far = length.saturating_sub(MAX_READ_AHEAD);
+        length <= MAX_FAR_AHEAD && self.share.try_grow(far)
+    }
+
+    /// Removes bytes that hyper has read, and returns memory that is no longer needed.
+    fn consume(&mut self, length: usize) {
+        self.buffered.advance(length);
+        self.share.shrink(self.buffered.len().saturating_sub(MAX_READ_AHEAD));
+        if self.buffered.is_empty() && self.buffered.capacity() > MAX_READ_AHEAD {
+            self.buffered = BytesMut::new();
+        }
+    }
+
     fn started(&self) -> usize {
         let is_started = |p: &&PipelinedRequest<T>| matches!(p, PipelinedRequest::Started(..));
         self.pipelined.iter().filter(is_started).count()
@@ -408,7 +446,7 @@
         }
         let length = state.buffered.len().min(buf.remaining());
         buf.put_slice(&state.buffered[..length]);
-        state.buffered.advance(length);
+        state.consume(length);
         Poll::Ready(Ok(()))
     }
 }
