--- a/crates/steer/src/flows/follow_timing.rs
+++ b/crates/steer/src/flows/follow_timing.rs
@@ -1,7 +1,7 @@
 //! Timing of the calls that follow the registries of the store.
 
 use super::Backoff;
-use crate::OBJECT_RESPONSE_TIMEOUT;
+use crate::{OBJECT_RESPONSE_TIMEOUT, RelayTiming};
 use std::time::Duration;
 
 /// Timing of the calls that follow a registry.
@@ -63,9 +63,7 @@
     /// timeout, a pause, and a call over a new connection to a store in another region.
     const REPLACE_TIME: Duration = OBJECT_RESPONSE_TIMEOUT
         .saturating_add(Backoff::FIRST_PAUSE)
-        .saturating_add(Self::CALL_TIME);
-    /// Time of a call over a new connection.
-    const CALL_TIME: Duration = Duration::from_millis(400);
+        .saturating_add(RelayTiming::CALL_TIME);
     /// Longest wait for changes that are rare.
     const MAX_WAIT: Duration = Duration::from_secs(5);
     /// Longest wait for changes of targets, whose calls also detect the recovery of the store.
--- a/crates/steer/src/relay/relay_timing.rs
+++ b/crates/steer/src/relay/relay_timing.rs
@@ -1,5 +1,6 @@
 //! Limits on the delay of relayed objects behind the store.
 
+use super::StoreGate;
 use crate::RelayRole;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
     const MIN_AGE: Duration = Duration::from_millis(1_200);
     /// Time that the levels of the tree have, one after the other, to replace one that failed.
     const TAKEOVER: Duration = Duration::from_millis(1_600);
+    /// Time of a call to the store over a new connection.
+    pub const CALL_TIME: Duration = Duration::from_millis(400);
     /// Shortest wait of the reader; a shorter one costs more calls than a late VM does.
     const MIN_WAIT: Duration = Duration::from_millis(400);
 
@@ -45,6 +48,20 @@
         Self { takeover: max_age - wait, wait }
     }
 
+    /// Returns the longest time from a change in the store until a VM knows it that reaches the store, if
+    /// all VMs above it fail at the moment of the change: its objects become stale, it may be held back
+    /// as those VMs report the loss, and it calls the store over a new connection.
+    pub fn longest_delay(&self, role: RelayRole) -> Duration {
+        let held = match role {
+            RelayRole::Member => StoreGate::longest_report_pause(),
+            RelayRole::Reader
+            | RelayRole::RegionDelegate
+            | RelayRole::Standby
+            | RelayRole::ZoneDelegate => Duration::ZERO,
+        };
+        self.max_age(role) + held + Self::CALL_TIME
+    }
+
     /// Returns the age from which a VM doesn't use relayed objects.
     pub fn max_age(&self, role: RelayRole) -> Duration {
         let part = match role {
--- a/crates/steer/src/relay/store_gate.rs
+++ b/crates/steer/src/relay/store_gate.rs
@@ -34,7 +34,7 @@
 ///     gate.record(now, now, false);
 /// }
 /// assert!(!gate.try_acquire(now, false));
-/// assert!(gate.try_acquire(now + StoreGate::LONGEST_PAUSE, false));
+/// assert!(gate.try_acquire(now + StoreGate::longest_retry_pause(), false));
 /// gate.record(now, now, true);
 /// assert!(gate.try_acquire(now, false));
 /// ```
@@ -55,18 +55,30 @@
     const FIRST_PAUSE: Duration = Duration::from_secs(1);
     /// Number of times that the pause doubles, beyond which the longest one applies.
     const MAX_DOUBLINGS: u32 = 8;
-    /// Longest pause after failed calls. Half as much again is less than the time after a disturbance
-    /// from which changes are known in time.
-    pub const LONGEST_PAUSE: Duration = Duration::from_millis(1_800);
-    /// Pause before the first call if the VMs above report that they lost the store.
-    pub const REPORT_PAUSE: Duration = Duration::from_millis(200);
+    /// Longest pause after failed calls, before it is spread.
+    pub const LONGEST_PAUSE: Duration = Duration::from_millis(1_700);
+    /// Pause before the first call if the VMs above report that they lost the store, before it is spread.
+    const REPORT_PAUSE: Duration = Duration::from_millis(200);
     /// Pause between calls while the VMs above report that they lost the store.
     const LOST_PAUSE: Duration = Duration::from_secs(10);
     /// Pause between the calls of a VM that lost the store and gets relayed updates.
     const RETRY_PAUSE: Duration = Duration::from_secs(3);
+    /// Greatest factor by which a pause is spread; the least one is less by one.
+    const MAX_SPREAD: f64 = 1.5;
     /// Shortest time for which a call that was held back waits for its turn.
     const MIN_WAIT: Duration = Duration::from_millis(200);
 
+    /// Returns the longest time for which the first call of a VM is held back, as those above it report
+    /// that they lost the store.
+    pub fn longest_report_pause() -> Duration {
+        Self::REPORT_PAUSE.mul_f64(Self::MAX_SPREAD)
+    }
+
+    /// Returns the longest time between two calls of a VM that finds out by itself when the store is back.
+    pub fn longest_retry_pause() -> Duration {
+        Self::LONGEST_PAUSE.mul_f64(Self::MAX_SPREAD)
+    }
+
     /// Creates an open gate.
     pub fn new(name: &VmName) -> Self {
         let phase = ObjectHash::new("store", b"").rank(name.as_str());
@@ -157,6 +169,6 @@
 
     /// Returns a time from half to one and a half times as long.
     fn spread(&self, time: Duration) -> Duration {
-        time.mul_f64(0.5 + self.phase)
+        time.mul_f64(Self::MAX_SPREAD - 1.0 + self.phase)
     }
 }
