See a caller's end when others have used up the budget

Cause, found while reading the diff: a connection that had 60 to 64 KiB buffered needed the budget for its next read but didn't count as full yet, so with the budget used up by others its caller's end was seen neither by reading nor by the kernel's event. Change: the budget is asked for from 64 KiB on, where the event is awaited.

--- a/crates/adapters/src/http/read_ahead_stream.rs
+++ b/crates/adapters/src/http/read_ahead_stream.rs
@@ -1,8 +1,8 @@
 //! Reads a caller's connection ahead of hyper, which reads only one request at a time.
 //!
-//! Reading ahead detects at once that the caller has closed the connection; once as much is buffered as
-//! may be, an end that has arrived is seen without reading. It also parses the requests that are pipelined behind the
-//! current one, so that they can be started early.
+//! Reading ahead detects at once that the caller has closed the connection; once the buffer is full, an
+//! end that has arrived is seen without reading. It also parses the requests that are pipelined behind
+//! the current one, so that they can be started early.
 
 use super::{read_ahead_budget::ReadAheadShare, write_timeout::WriteTimeout};
 use bytes::{Buf, BytesMut};
@@ -19,9 +19,9 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Number of bytes that a connection may buffer before hyper reads them, whatever others buffer.
+/// Number of bytes from which the buffer is full: further ones need the budget of the listener.
 const MAX_READ_AHEAD: usize = 64 << 10;
-/// Maximum number of bytes that it buffers if the budget of its listener allows for them.
+/// Maximum number of bytes buffered before hyper reads them.
 const MAX_FAR_AHEAD: usize = 1 << 20;
 /// Maximum number of reads in one poll of the connection's task. A caller that never stops sending
 /// would else use up the task's budget, and the timers of its requests would not fire.
@@ -83,12 +83,12 @@
     /// be lost with a response that breaks off.
     passing: usize,
     pipelined: VecDeque<PipelinedRequest<T>>,
-    /// Covers the buffered bytes beyond `MAX_READ_AHEAD`.
-    share: ReadAheadShare,
     /// Number of reads in the current poll of the connection's task.
     reads: usize,
     /// Number of bytes received from the caller.
     received: u64,
+    /// Covers the buffered bytes beyond `MAX_READ_AHEAD`.
+    share: ReadAheadShare,
     stream: WriteTimeout,
 }
 
@@ -125,9 +125,9 @@
             limits,
             passing: 0,
             pipelined: VecDeque::new(),
-            share,
             reads: 0,
             received: 0,
+            share,
             stream,
         };
         Self { state: Arc::new(Mutex::new(state)) }
@@ -137,7 +137,7 @@
         self.state.lock().expect("no thread panics while it holds the stream")
     }
 
-    /// Returns whether so much is buffered that reading ahead may wait for hyper to take bytes.
+    /// Returns whether reading ahead may have to wait until hyper takes bytes.
     pub(super) fn is_full(&self) -> bool {
         self.lock().is_full()
     }
@@ -266,11 +266,11 @@
         self.buffered.len() >= MAX_READ_AHEAD
     }
 
-    /// Returns whether the bytes of another read may be buffered.
+    /// Returns whether the bytes of another read may be buffered: in a full buffer only if the budget
+    /// covers them.
     fn may_buffer(&mut self) -> bool {
         let length = self.buffered.len() + READ_SIZE;
-        let far = length.saturating_sub(MAX_READ_AHEAD);
-        length <= MAX_FAR_AHEAD && self.share.try_grow(far)
+        !self.is_full() || length <= MAX_FAR_AHEAD && self.share.try_grow(length - MAX_READ_AHEAD)
     }
 
     /// Removes bytes that hyper has read, and returns memory that is no longer needed.
--- a/crates/adapters/src/http/write_timeout.rs
+++ b/crates/adapters/src/http/write_timeout.rs
@@ -19,7 +19,7 @@
 /// occupy a connection slot indefinitely.
 #[derive(Debug)]
 pub(super) struct WriteTimeout {
-    /// Shared with the futures that wait for its end.
+    /// Shared with the future that waits for its end.
     inner: Arc<TcpStream>,
     timer: Option<Pin<Box<Sleep>>>,
     timeout: Duration,
@@ -42,7 +42,7 @@
         let stream = Arc::clone(&self.inner);
         async move {
             // Of the events that this interest stands for, the end alone is ever reported, as the
-            // stream isn't registered for urgent data.
+            // stream isn't registered for urgent data. An error is an end as well.
             let _end = stream.ready(Interest::PRIORITY).await;
         }
     }
--- a/crates/adapters/tests/departed_callers.rs
+++ b/crates/adapters/tests/departed_callers.rs
@@ -203,6 +203,36 @@
     }
 }
 
+// Guards against ends that are seen neither by reading, once the budget is used up, nor without.
+#[tokio::test]
+async fn a_budget_that_others_have_used_up_hides_no_end() {
+    let (callers, requests) = start().await;
+    let mut holders = Vec::new();
+    for number in 0..6 {
+        holders.push(tokio::spawn(async move {
+            let mut stream = TcpStream::connect(callers).await.unwrap();
+            // Blocks if the budget ends before the body.
+            stream.write_all(&post(&format!("/hold-{number}"), 1_000_000, false)).await.unwrap();
+            pending::<()>().await;
+        }));
+    }
+    sleep(PATIENCE).await;
+    let leave = |size: usize| {
+        let requests = &requests;
+        async move {
+            let path = format!("/wait-{size}");
+            let bytes = post(&path, size, false);
+            let time = leave_listener((callers, requests), &path, &bytes, End::Close).await;
+            describe(&format!("{size} bytes"), time)
+        }
+    };
+    let sizes = (54 << 10..90 << 10).step_by(1 << 10);
+    let late = join_all(sizes.map(leave)).await;
+    let late: String = late.into_iter().filter(|case| !case.ends_with("in time\n")).collect();
+    holders.iter().for_each(tokio::task::JoinHandle::abort);
+    assert_eq!(late, "");
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_cancels_its_request_over_http2() {
     let mut table = String::new();
--- a/crates/steer/src/fleet/fleet_view.rs
+++ b/crates/steer/src/fleet/fleet_view.rs
@@ -288,6 +288,22 @@
 
     /// Records whether this VM's own calls to the store fail. Other VMs are told at once, as they choose
     /// by that who reads the store for others.
+    ///
+    /// ```
+    /// # use steer::{FleetView, VmRecord};
+    /// # let vm = VmRecord {
+    /// #     callers: "10.0.0.1:80".parse().unwrap(),
+    /// #     capacity: 200,
+    /// #     incarnation: 1,
+    /// #     name: "entry-1".into(),
+    /// #     peers: "10.0.0.1:81".parse().unwrap(),
+    /// #     region: "lisboa".into(),
+    /// #     zone: "lis-a".into(),
+    /// # };
+    /// let view = FleetView::new(vm);
+    /// view.set_store_lost(true);
+    /// assert!(view.hello_at("10.0.0.2:81".parse().unwrap()).store_lost);
+    /// ```
     pub fn set_store_lost(&self, is_lost: bool) {
         let mut inner = self.lock();
         if inner.store_lost == is_lost {
--- a/crates/steer/src/relay/relay_timing.rs
+++ b/crates/steer/src/relay/relay_timing.rs
@@ -51,6 +51,13 @@
     /// Returns the longest time from a change in the store until a VM knows it that reaches the store, if
     /// all VMs above it fail at the moment of the change: its objects become stale, it may be held back
     /// as those VMs report the loss, and it calls the store over a new connection.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use steer::{RelayRole, RelayTiming};
+    /// let limit = Duration::from_secs(2);
+    /// assert!(RelayTiming::within(limit).longest_delay(RelayRole::Member) < limit);
+    /// ```
     pub fn longest_delay(&self, role: RelayRole) -> Duration {
         let held = match role {
             RelayRole::Member => StoreGate::longest_report_pause(),
